--- /dev/null
+++ b/apps/hyssopctl/main.cpp
@@ -0,0 +1,6 @@
+#include <cstdio>
+
+int main() {
+  std::puts("hyssopctl " HYSSOPLEDGE_VERSION);
+  return 0;
+}
--- /dev/null
+++ b/apps/hyssopd/main.cpp
@@ -0,0 +1,6 @@
+#include <cstdio>
+
+int main() {
+  std::puts("hyssopd " HYSSOPLEDGE_VERSION);
+  return 0;
+}
--- /dev/null
+++ b/hyssopledge/coordination/platform.h
@@ -0,0 +1,97 @@
+/// \file
+/// The platform's key-value service as the decisions use it. Another platform
+/// is one more class.
+#pragma once
+
+#include "hyssopledge/state/clock.h"
+#include "hyssopledge/state/result.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hyssopledge::coordination {
+
+constexpr std::size_t MaxPlatformValueBytes = 1024 * 1024;
+
+struct platform_entry {
+  std::string Key;
+  std::string Value;
+  std::int64_t CreateRevision = 0;
+  std::int64_t ModRevision = 0; // 0: the key does not exist
+  std::int64_t Lease = 0;
+};
+
+struct platform_read {
+  std::vector<platform_entry> Entries;
+  std::int64_t Revision = 0; // of the store at the read
+};
+
+/// Writes Puts and removes Deletes if each condition holds, all or nothing.
+struct platform_txn {
+  struct condition {
+    std::string Key;
+    std::int64_t ModRevision = 0; // 0: must not exist
+  };
+  struct put {
+    std::string Key;
+    std::string Value;
+    std::int64_t Lease = 0;
+  };
+  std::vector<condition> Conditions;
+  std::vector<put> Puts;
+  std::vector<std::string> Deletes;
+};
+
+struct platform_txn_result {
+  bool Succeeded = false; // false: a condition did not hold
+  std::int64_t Revision = 0;
+};
+
+struct platform_event {
+  platform_entry Entry;
+  bool Deleted = false;
+};
+
+/// A standing watch; destroying it ends the watch.
+class platform_watch {
+public:
+  virtual ~platform_watch() = default;
+};
+
+/// All calls are asynchronous; handlers run on the event loop given to the
+/// implementation. A Timeout failure says that the effect is unknown: read back
+/// before acting on it. Unavailable says that nothing was written.
+class platform_store {
+public:
+  template <class T> using handler = std::function<void(state::result<T>)>;
+  using watch_handler =
+      std::function<void(state::result<std::vector<platform_event>>)>;
+
+  virtual ~platform_store() = default;
+
+  /// Linearizable read of one key, or of all keys with the prefix.
+  virtual void get(const std::string &Key, bool Prefix,
+                   handler<platform_read> Handler) = 0;
+  virtual void commit(platform_txn Txn,
+                      handler<platform_txn_result> Handler) = 0;
+  virtual void grantLease(std::chrono::seconds Duration,
+                          handler<std::int64_t> Handler) = 0;
+  /// The remaining duration after the renewal; NotFound when the lease has
+  /// ended.
+  virtual void keepAlive(std::int64_t Lease,
+                         handler<std::chrono::seconds> Handler) = 0;
+  virtual void revokeLease(std::int64_t Lease, handler<bool> Handler) = 0;
+  /// Events from StartRevision on. A failure ends the watch; start another one
+  /// after a read.
+  virtual std::unique_ptr<platform_watch> watch(const std::string &Key,
+                                                bool Prefix,
+                                                std::int64_t StartRevision,
+                                                watch_handler Handler) = 0;
+};
+
+} // namespace hyssopledge::coordination
--- /dev/null
+++ b/hyssopledge/state/rcu_cell.h
@@ -0,0 +1,48 @@
+/// \file
+/// A pointer that many threads read without a lock and that a writer replaces
+/// (read-copy-update by liburcu).
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <urcu-bp.h>
+#include <utility>
+
+namespace hyssopledge::state {
+
+/// Readers copy a shared pointer within a read-side section and may keep the
+/// copy as long as they like. Writers wait for readers that are inside of the
+/// section, so publish from control threads only.
+template <class T> class rcu_cell {
+public:
+  explicit rcu_cell(
+      std::shared_ptr<const T> Initial = std::make_shared<const T>())
+      : Current(new std::shared_ptr<const T>(std::move(Initial))) {}
+  rcu_cell(const rcu_cell &) = delete;
+  rcu_cell &operator=(const rcu_cell &) = delete;
+  ~rcu_cell() { delete Current.load(); }
+
+  /// Wait-free.
+  std::shared_ptr<const T> read() const {
+    urcu_bp_read_lock();
+    std::shared_ptr<const T> Copy = *Current.load(std::memory_order_acquire);
+    urcu_bp_read_unlock();
+    return Copy;
+  }
+
+  void publish(std::shared_ptr<const T> Next) {
+    auto *Fresh = new std::shared_ptr<const T>(std::move(Next));
+    const std::lock_guard<std::mutex> Guard(Writers);
+    std::shared_ptr<const T> *Old =
+        Current.exchange(Fresh, std::memory_order_acq_rel);
+    urcu_bp_synchronize_rcu();
+    delete Old;
+  }
+
+private:
+  std::atomic<std::shared_ptr<const T> *> Current;
+  std::mutex Writers; // orders publishers; readers never take it
+};
+
+} // namespace hyssopledge::state
--- /dev/null
+++ b/hyssopledge/state/routing_view.h
@@ -0,0 +1,72 @@
+/// \file
+/// All that the path of a request reads, published as one pointer so that a
+/// request sees one consistent state.
+#pragma once
+
+#include "hyssopledge/state/clock.h"
+#include "hyssopledge/state/rcu_cell.h"
+#include "hyssopledge/state/snapshot.h"
+#include "hyssopledge/state/target.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace hyssopledge::state {
+
+enum class rollout_phase {
+  Running,    // the share grows toward 1
+  Watching,   // the share is 1, a bad version is still rolled back
+  Done,       // the new version is the stable one
+  RolledBack, // the share is 0 for good
+};
+
+/// What entry daemons do for one service in a rollout. A higher Step replaces a
+/// lower one of the same generation.
+struct rollout_directive {
+  std::string Service;
+  std::string FromVersion;
+  std::string ToVersion;
+  std::uint64_t Generation = 0; // head version that started the rollout
+  std::uint64_t Step = 0;       // grows at each change
+  double Share = 0;             // share of calls for ToVersion, 0..1
+  rollout_phase Phase = rollout_phase::Running;
+};
+
+struct directive_table {
+  std::map<std::string, rollout_directive> ByService;
+};
+
+/// Versions that are condemned for the fleet or avoided by this daemon alone.
+/// Only grows within a generation.
+struct verdict_table {
+  std::set<std::pair<std::string, std::string>> Condemned; // service, version
+  std::set<std::pair<std::string, std::string>>
+      Avoided; // service, version; own decision of this daemon
+};
+
+/// Fingerprints of poison requests, see state/poison.h.
+struct poison_table {
+  std::set<std::uint64_t> Fingerprints;
+};
+
+/// Each part is immutable and never null, but for Snapshot, which is null until
+/// a configuration is in force.
+struct routing_view {
+  std::shared_ptr<const snapshot> Snapshot;
+  std::shared_ptr<const directive_table> Directives =
+      std::make_shared<const directive_table>();
+  std::shared_ptr<const target_table> Targets =
+      std::make_shared<const target_table>();
+  std::shared_ptr<const verdict_table> Verdicts =
+      std::make_shared<const verdict_table>();
+  std::shared_ptr<const poison_table> Poison =
+      std::make_shared<const poison_table>();
+};
+
+using routing_view_cell = rcu_cell<routing_view>;
+
+} // namespace hyssopledge::state
--- /dev/null
+++ b/scripts/check_style.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Runs the formatter and the linter over the hand-written sources. Arguments: build folder, then files (default: all).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+shift || true
+if [ "$#" -gt 0 ]; then files=("$@"); else
+  mapfile -t files < <(git ls-files '*.cpp' '*.h' | grep -v '/generated/')
+fi
+clang-format --dry-run --Werror "${files[@]}"
+mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep '\.cpp$')
+printf '%s\0' "${sources[@]}" | xargs -0 -n 1 -P "$(nproc)" clang-tidy -p "$build" --quiet
+echo "style: ${#files[@]} files clean"
--- /dev/null
+++ b/scripts/generate_protocol.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Generates the committed protobuf and gRPC code again from hyssopledge/protocol/*.proto.
+set -euo pipefail
+cd "$(dirname "$0")/../hyssopledge/protocol"
+protoc --cpp_out=generated --grpc_out=generated \
+  --plugin=protoc-gen-grpc="$(command -v grpc_cpp_plugin)" ./*.proto
--- /dev/null
+++ b/scripts/run_tests.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Runs every test. A test listed in KNOWN-RED.txt ("test: NAME" lines) is run apart, printed, and does not decide.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+mapfile -t red < <(sed -n 's/^test: *//p' KNOWN-RED.txt)
+exclude=()
+if [ "${#red[@]}" -gt 0 ]; then
+  pattern=$(printf '%s\n' "${red[@]}" | sed 's/[][().*+?^$|\\]/\\&/g; s/.*/^&$/' | paste -sd'|')
+  exclude=(-E "$pattern")
+  echo "known red, run apart and not counted:"
+  printf '  %s\n' "${red[@]}"
+  ctest --test-dir "$build" --output-on-failure -R "$pattern" || echo "known red: still failing, see KNOWN-RED.txt"
+fi
+# Tests that start processes and measure time have the label "serial" set by RUN_SERIAL.
+ctest --test-dir "$build" --output-on-failure -j "$(nproc)" "${exclude[@]}"
--- /dev/null
+++ b/tools/platform_standin/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
