--- a/hyssopledge/protocol/settings.h
+++ b/hyssopledge/protocol/settings.h
@@ -46,6 +46,10 @@
   std::string Author; // written into the head record
 };
 
+/// True for "ip:port" with an IPv4 address or an IPv6 address in brackets and a
+/// port from 1 to 65535.
+bool isAddress(std::string_view Address);
+
 /// A failure lists each problem with its JSON pointer, the wrong value and what
 /// would be right.
 state::result<daemon_settings> parseDaemonSettings(std::string_view Json);
