--- /dev/null
+++ b/tests/mvcc_store_test.cpp
@@ -0,0 +1,224 @@
+/// \file
+/// Guards that the stand-in keeps the platform's rules, on which the tests of
+/// everything else rest.
+#include "platform_standin/mvcc_store.h"
+
+#include "hyssopledge/state/random.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace hyssopledge;
+using namespace std::chrono_literals;
+using platform_standin::mvcc_store;
+using state::errc;
+
+namespace {
+
+const state::time_point Start{1h};
+
+void addPut(etcdserverpb::TxnRequest &Txn, const std::string &Key,
+            const std::string &Value, std::int64_t Lease = 0) {
+  etcdserverpb::PutRequest &Put = *Txn.add_success()->mutable_request_put();
+  Put.set_key(Key);
+  Put.set_value(Value);
+  Put.set_lease(Lease);
+}
+
+void addDelete(etcdserverpb::TxnRequest &Txn, const std::string &Key) {
+  Txn.add_success()->mutable_request_delete_range()->set_key(Key);
+}
+
+void addModIs(etcdserverpb::TxnRequest &Txn, const std::string &Key,
+              std::int64_t Revision) {
+  etcdserverpb::Compare &Compare = *Txn.add_compare();
+  Compare.set_key(Key);
+  Compare.set_target(etcdserverpb::Compare::MOD);
+  Compare.set_mod_revision(Revision);
+}
+
+state::result<etcdserverpb::TxnResponse> put(mvcc_store &Store,
+                                             const std::string &Key,
+                                             const std::string &Value,
+                                             std::int64_t Lease = 0) {
+  etcdserverpb::TxnRequest Txn;
+  addPut(Txn, Key, Value, Lease);
+  return Store.txn(Txn);
+}
+
+etcdserverpb::RangeResponse read(const mvcc_store &Store,
+                                 const std::string &Key,
+                                 const std::string &End = "",
+                                 std::int64_t Limit = 0) {
+  etcdserverpb::RangeRequest Request;
+  Request.set_key(Key);
+  Request.set_range_end(End);
+  Request.set_limit(Limit);
+  return Store.range(Request).value();
+}
+
+} // namespace
+
+TEST_CASE("mvcc store counts revisions and versions") {
+  mvcc_store Store;
+  CHECK(Store.revision() == 1);
+  CHECK(put(Store, "a", "1").value().header().revision() == 2);
+  CHECK(put(Store, "a", "2").value().header().revision() == 3);
+  CHECK(put(Store, "b", "1").value().header().revision() == 4);
+  const mvccpb::KeyValue Entry = read(Store, "a").kvs(0);
+  CHECK(Entry.create_revision() == 2);
+  CHECK(Entry.mod_revision() == 3);
+  CHECK(Entry.version() == 2);
+  CHECK(read(Store, "a", "c").kvs_size() == 2);
+  CHECK(read(Store, "a", std::string(1, '\0'), 1).more());
+
+  etcdserverpb::TxnRequest Delete;
+  addDelete(Delete, "a");
+  CHECK(Store.txn(Delete).value().header().revision() == 5);
+  CHECK(Store.txn(Delete).value().header().revision() == 5);
+  CHECK(read(Store, "a").kvs_size() == 0);
+  put(Store, "a", "3").value();
+  CHECK(read(Store, "a").kvs(0).create_revision() == 6);
+}
+
+TEST_CASE("mvcc store applies a transaction as a whole or not at all") {
+  struct txn_case {
+    const char *Name;
+    void (*Build)(etcdserverpb::TxnRequest &);
+    std::optional<errc> Refused;
+    bool Succeeded;
+  };
+  const txn_case Cases[] = {
+      {"equal", [](auto &T) { addModIs(T, "a", 2); }, {}, true},
+      {"absent", [](auto &T) { addModIs(T, "x", 0); }, {}, true},
+      {"moved", [](auto &T) { addModIs(T, "a", 1); }, {}, false},
+      {"one of two",
+       [](auto &T) {
+         addModIs(T, "a", 2);
+         addModIs(T, "a", 0);
+       },
+       {},
+       false},
+      {"large value",
+       [](auto &T) { addPut(T, "c", std::string(1024 * 1024 + 1, 'x')); },
+       errc::TooLarge, false},
+      {"unknown lease", [](auto &T) { addPut(T, "c", "1", 99); },
+       errc::NotFound, false},
+      {"key twice", [](auto &T) { addPut(T, "b", "2"); }, errc::InvalidMessage,
+       false},
+      {"put and delete", [](auto &T) { addDelete(T, "b"); },
+       errc::InvalidMessage, false},
+      {"no key", [](auto &T) { addPut(T, "", "2"); }, errc::InvalidMessage,
+       false},
+      {"many",
+       [](auto &T) {
+         for (int I = 0; I < 128; ++I)
+           addPut(T, "k" + std::to_string(I), "");
+       },
+       errc::InvalidMessage, false},
+  };
+  for (const txn_case &Case : Cases) {
+    CAPTURE(Case.Name);
+    mvcc_store Store;
+    put(Store, "a", "1").value();
+    etcdserverpb::TxnRequest Txn;
+    addPut(Txn, "b", "1");
+    Case.Build(Txn);
+    auto Result = Store.txn(Txn);
+    REQUIRE(Result.has_error() == Case.Refused.has_value());
+    if (Case.Refused)
+      CHECK(Result.error().is(*Case.Refused));
+    else
+      CHECK(Result.value().succeeded() == Case.Succeeded);
+    CHECK(Store.revision() == (Case.Succeeded ? 3 : 2));
+    CHECK(read(Store, "b").kvs_size() == (Case.Succeeded ? 1 : 0));
+  }
+}
+
+TEST_CASE("mvcc store deletes the keys of a lease when it ends") {
+  mvcc_store Store;
+  const std::int64_t Lease = Store.grant(5s, 0, Start).value();
+  CHECK(Store.grant(5s, Lease, Start).error().is(errc::Conflict));
+  put(Store, "seat", "me", Lease).value();
+  put(Store, "kept", "me", Lease).value();
+  put(Store, "kept", "me").value(); // detaches the key from the lease
+  CHECK(Store.keepAlive(Lease, Start + 4s).value() == 5s);
+  Store.expire(Start + 8s);
+  CHECK(read(Store, "seat").kvs_size() == 1);
+  Store.expire(Start + 9s);
+  CHECK(read(Store, "seat").kvs_size() == 0);
+  CHECK(read(Store, "kept").kvs_size() == 1);
+  CHECK(Store.keepAlive(Lease, Start + 9s).error().is(errc::NotFound));
+  CHECK(Store.revoke(Lease).error().is(errc::NotFound));
+  const auto Events = Store.eventsFrom("seat", "", 1).value();
+  REQUIRE(Events.size() == 2);
+  CHECK(Events[1].type() == mvccpb::Event::DELETE);
+}
+
+TEST_CASE("mvcc store says when a watch starts before its history") {
+  platform_standin::store_limits Limits;
+  Limits.MaxHistoryBytes = 400;
+  mvcc_store Store(Limits);
+  for (int I = 0; I < 20; ++I)
+    put(Store, "a", std::string(80, 'x')).value();
+  CHECK_FALSE(Store.eventsFrom("a", "", 2));
+  CHECK(Store.eventsFrom("a", "", Store.compactedRevision() + 1)->size() > 1);
+}
+
+// Replaying the events from any revision on a copy of that revision gives the
+// latest state; this is what watchers rely on.
+TEST_CASE("mvcc store gives events that rebuild the latest state") {
+  CHECK(rc::check([](std::uint64_t Seed) {
+    state::random_engine Engine(Seed);
+    mvcc_store Store;
+    std::map<std::string, std::string> Copy;
+    std::int64_t CopyRevision = 1;
+    const std::uint64_t CopyAt = state::uniformBelow(Engine, 30);
+    std::int64_t Lease = Store.grant(2s, 0, Start).value();
+    const auto KeyOf = [&] {
+      return std::string("/k/") +
+             static_cast<char>('a' + state::uniformBelow(Engine, 4));
+    };
+    for (std::uint64_t Step = 0; Step < 30; ++Step) {
+      if (Step == CopyAt) {
+        const auto Now = read(Store, "/k/", "/k0");
+        for (const auto &Entry : Now.kvs())
+          Copy[Entry.key()] = Entry.value();
+        CopyRevision = Store.revision();
+      }
+      etcdserverpb::TxnRequest Txn;
+      switch (state::uniformBelow(Engine, 4)) {
+      case 0:
+        addDelete(Txn, KeyOf());
+        break;
+      case 1:
+        Store.expire(Start + std::chrono::seconds(Step / 8));
+        if (Store.leases() == 0)
+          Lease =
+              Store.grant(2s, 0, Start + std::chrono::seconds(Step)).value();
+        break;
+      default:
+        addPut(Txn, KeyOf(), std::to_string(Step),
+               state::uniformBelow(Engine, 3) == 0 && Store.leases() > 0 ? Lease
+                                                                         : 0);
+      }
+      RC_ASSERT(Store.txn(Txn).has_value());
+    }
+    std::int64_t Last = CopyRevision;
+    const auto Events =
+        Store.eventsFrom("/k/", "/k0", CopyRevision + 1).value();
+    for (const auto &Event : Events) {
+      RC_ASSERT(Event.kv().mod_revision() >= Last);
+      Last = Event.kv().mod_revision();
+      if (Event.type() == mvccpb::Event::DELETE)
+        Copy.erase(Event.kv().key());
+      else
+        Copy[Event.kv().key()] = Event.kv().value();
+    }
+    std::map<std::string, std::string> Latest;
+    const auto End = read(Store, "/k/", "/k0");
+    for (const auto &Entry : End.kvs())
+      Latest[Entry.key()] = Entry.value();
+    RC_ASSERT(Copy == Latest);
+  }));
+}
