Add the decision classes on the path of a request

Additions to the headers: homeTarget, the local data centre of the picker, attemptsLeftBelow, target_stats::LatencyAtNs and the limits of ejection and poison memory.

--- /dev/null
+++ b/hyssopledge/state/admission.cpp
@@ -0,0 +1,139 @@
+#include "hyssopledge/state/admission.h"
+
+#include <algorithm>
+
+namespace hyssopledge::state {
+
+namespace {
+
+constexpr double RunTimeWeight = 0.1; // of one sample in the mean
+
+boot_clock::duration fromMs(double Ms) {
+  return std::chrono::duration_cast<boot_clock::duration>(
+      std::chrono::duration<double, std::milli>(Ms));
+}
+
+} // namespace
+
+admission::admission(admission_limits Limits) : Limits(Limits) {}
+
+void admission::announce(const upstream_announcement &Announcement,
+                         time_point Now) {
+  this->Announcement = Announcement;
+  AnnouncedAt = Now;
+}
+
+std::optional<upstream_announcement> admission::serving(time_point Now) const {
+  if (!Announcement || Announcement->Draining ||
+      Now - AnnouncedAt >= AnnouncementLifetime)
+    return std::nullopt;
+  return Announcement;
+}
+
+void admission::setLimits(admission_limits Limits) { this->Limits = Limits; }
+
+void admission::startDrain() { Draining = true; }
+
+bool admission::drained() const { return Running.empty() && Queue.empty(); }
+
+std::optional<failure> admission::refusal(const std::string &Service,
+                                          const std::string &Version,
+                                          time_point Now) const {
+  if (!Announcement || Now - AnnouncedAt >= AnnouncementLifetime)
+    return failure(errc::NoTarget, "no upstream has announced itself");
+  if (Announcement->Draining)
+    return failure(errc::Draining, "the upstream is leaving");
+  if (Announcement->Service != Service || Announcement->Version != Version)
+    return failure(errc::NoTarget, "the upstream is " + Announcement->Service +
+                                       " " + Announcement->Version + ", not " +
+                                       Service + " " + Version);
+  return std::nullopt;
+}
+
+result<admission_verdict> admission::admit(ticket Ticket,
+                                           const std::string &Service,
+                                           const std::string &Version,
+                                           time_point Deadline,
+                                           time_point Now) {
+  if (Draining)
+    return failure(errc::Draining, "this daemon is leaving");
+  if (auto Refusal = refusal(Service, Version, Now))
+    return *Refusal;
+  if (Now >= Deadline)
+    return failure(errc::Timeout, "the deadline has passed");
+  if (Queue.empty() && Running.size() < slots()) {
+    Running.push_back(Ticket);
+    return admission_verdict::Run;
+  }
+  if (Queue.size() >= Limits.QueueLength)
+    return failure(errc::Overloaded, "the queue is full");
+  // Slots become free at the mean rate; the request must also run in time.
+  const double Rounds =
+      static_cast<double>(Queue.size() + 1) / std::max(1U, slots()) + 1;
+  if (Now + fromMs(Rounds * MeanRunMs) > Deadline)
+    return failure(errc::Overloaded, "no slot before the deadline");
+  Queue.push_back({Ticket, Service, Version, Deadline});
+  return admission_verdict::Queued;
+}
+
+void admission::release(time_point Now, std::vector<admission_release> &Out) {
+  std::deque<waiting> Kept;
+  for (waiting &Waiting : Queue) {
+    auto Refusal = refusal(Waiting.Service, Waiting.Version, Now);
+    if (!Refusal && Now >= Waiting.Deadline)
+      Refusal = failure(errc::Timeout, "the deadline has passed in the queue");
+    if (!Refusal && Running.size() < slots()) {
+      // Nobody would await the answer. A free slot is worth more.
+      if (!Running.empty() && Now + fromMs(MeanRunMs) > Waiting.Deadline)
+        Refusal = failure(errc::Overloaded, "no time left to run");
+      else
+        Running.push_back(Waiting.Ticket);
+    } else if (!Refusal) {
+      Kept.push_back(std::move(Waiting));
+      continue;
+    }
+    Out.push_back({Waiting.Ticket, std::move(Refusal)});
+  }
+  Queue = std::move(Kept);
+}
+
+std::vector<admission_release>
+admission::finish(ticket Ticket, milliseconds RunTime, time_point Now) {
+  std::vector<admission_release> Out;
+  const auto Found = std::find(Running.begin(), Running.end(), Ticket);
+  if (Found == Running.end())
+    return Out;
+  Running.erase(Found);
+  const auto Sample = static_cast<double>(RunTime.count());
+  MeanRunMs = MeanRunMs == 0 ? Sample
+                             : MeanRunMs + RunTimeWeight * (Sample - MeanRunMs);
+  release(Now, Out);
+  return Out;
+}
+
+void admission::cancel(ticket Ticket) {
+  std::erase_if(
+      Queue, [&](const waiting &Waiting) { return Waiting.Ticket == Ticket; });
+}
+
+std::vector<admission_release> admission::expire(time_point Now) {
+  std::vector<admission_release> Out;
+  release(Now, Out);
+  return Out;
+}
+
+std::uint32_t admission::running() const {
+  return static_cast<std::uint32_t>(Running.size());
+}
+
+std::uint32_t admission::queued() const {
+  return static_cast<std::uint32_t>(Queue.size());
+}
+
+std::uint32_t admission::slots() const {
+  return Announcement && Announcement->Slots > 0
+             ? std::min(Limits.Slots, Announcement->Slots)
+             : Limits.Slots;
+}
+
+} // namespace hyssopledge::state
--- a/hyssopledge/state/admission.h
+++ b/hyssopledge/state/admission.h
@@ -76,8 +76,17 @@
   std::uint32_t slots() const;
 
 private:
+  /// Why the upstream may not get the request now; none: it may.
+  std::optional<failure> refusal(const std::string &Service,
+                                 const std::string &Version,
+                                 time_point Now) const;
+  /// Runs or refuses waiting requests as far as slots are free.
+  void release(time_point Now, std::vector<admission_release> &Out);
+
   struct waiting {
     ticket Ticket;
+    std::string Service;
+    std::string Version;
     time_point Deadline;
   };
 
--- /dev/null
+++ b/hyssopledge/state/idempotency.cpp
@@ -0,0 +1,99 @@
+#include "hyssopledge/state/idempotency.h"
+
+#include <utility>
+
+namespace hyssopledge::state {
+
+namespace {
+
+std::size_t sizeOf(const stored_answer &Answer) {
+  return Answer.Body.size() + Answer.ContentType.size();
+}
+
+} // namespace
+
+idempotency_table::idempotency_table(std::size_t MaxKeys, std::size_t MaxBytes)
+    : MaxKeys(MaxKeys), MaxBytes(MaxBytes) {}
+
+result<key_lookup> idempotency_table::begin(const std::string &Key,
+                                            std::uint64_t Fingerprint,
+                                            time_point Now) {
+  auto Found = Entries.find(Key);
+  if (Found != Entries.end() && Found->second.State != key_state::InProgress &&
+      Now - Found->second.At >= Retention) {
+    expire(Now);
+    Found = Entries.end();
+  }
+  if (Found != Entries.end()) {
+    const entry &Entry = Found->second;
+    if (Entry.Fingerprint != Fingerprint)
+      return failure(errc::Conflict,
+                     "the idempotency key was used for another request");
+    return key_lookup{Entry.State, Entry.Answer};
+  }
+  if (Entries.size() >= MaxKeys)
+    expire(Now);
+  if (Entries.size() >= MaxKeys)
+    return failure(errc::Overloaded, "the table of idempotency keys is full");
+  Entries.emplace(Key, entry{key_state::InProgress, Fingerprint, Now, nullptr});
+  return key_lookup{key_state::New, nullptr};
+}
+
+void idempotency_table::complete(const std::string &Key, stored_answer Answer,
+                                 time_point Now) {
+  const auto Found = Entries.find(Key);
+  if (Found == Entries.end() || Found->second.State == key_state::Done)
+    return;
+  entry &Entry = Found->second;
+  Entry.At = Now;
+  const std::size_t Size = sizeOf(Answer);
+  if (Size > MaxBytes) {
+    Entry.State = key_state::Unknown;
+    return;
+  }
+  Entry.State = key_state::Done;
+  Entry.Answer = std::make_shared<const stored_answer>(std::move(Answer));
+  Bytes += Size;
+  AnswersByAge.push_back(Key);
+  while (Bytes > MaxBytes) {
+    entry &Oldest = Entries.at(AnswersByAge.front());
+    AnswersByAge.pop_front();
+    Bytes -= sizeOf(*Oldest.Answer);
+    Oldest.Answer.reset();
+    Oldest.State = key_state::Unknown;
+  }
+}
+
+void idempotency_table::markUnknown(const std::string &Key, time_point Now) {
+  const auto Found = Entries.find(Key);
+  if (Found == Entries.end() || Found->second.State != key_state::InProgress)
+    return;
+  Found->second.State = key_state::Unknown;
+  Found->second.At = Now;
+}
+
+void idempotency_table::release(const std::string &Key) {
+  const auto Found = Entries.find(Key);
+  if (Found != Entries.end() && Found->second.State == key_state::InProgress)
+    Entries.erase(Found);
+}
+
+void idempotency_table::expire(time_point Now) {
+  // Answers come in the order of their age, so the outdated ones are in front.
+  while (!AnswersByAge.empty()) {
+    const auto Found = Entries.find(AnswersByAge.front());
+    if (Now - Found->second.At < Retention)
+      break;
+    Bytes -= sizeOf(*Found->second.Answer);
+    Entries.erase(Found);
+    AnswersByAge.pop_front();
+  }
+  std::erase_if(Entries, [&](const auto &Item) {
+    return Item.second.State == key_state::Unknown &&
+           Now - Item.second.At >= Retention;
+  });
+}
+
+std::size_t idempotency_table::size() const { return Entries.size(); }
+
+} // namespace hyssopledge::state
--- a/hyssopledge/state/picker.h
+++ b/hyssopledge/state/picker.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hyssopledge::state {
@@ -47,7 +48,10 @@
 /// Two random choices by latency times (in flight + 1), with fresh load hints,
 /// ejection and slow start. Calls with an idempotency key on a route that is
 /// not idempotent go to their home target by rendezvous hash.
-std::unique_ptr<picker> makeTwoChoicePicker(const target_stats_registry &Stats);
+/// LocalDataCentre is preferred while its targets do about as well as the
+/// others; empty: no preference.
+std::unique_ptr<picker> makeTwoChoicePicker(const target_stats_registry &Stats,
+                                            std::string LocalDataCentre = {});
 std::unique_ptr<picker> makeRoundRobinPicker();
 std::unique_ptr<picker>
 makeLeastReportedLoadPicker(const target_stats_registry &Stats);
@@ -55,11 +59,19 @@
 /// The version that a first attempt uses: the directive's share of draws goes
 /// to the new version, unless it is condemned, avoided or rolled back.
 struct version_choice {
-  std::string Version;
+  std::string Version; // empty: every version that may be used is condemned,
+                       // avoided or missing in the document
   bool NewVersion = false;
 };
 version_choice chooseVersion(const routing_view &View,
                              const service_spec &Service, std::uint64_t Draw,
                              const attempt_history &History);
 
+/// The target that keeps the idempotency key; null when none is serving. It
+/// depends on the key and the names of the serving instances only, so that all
+/// daemons agree and a restarted instance remains the home of its keys.
+const target_record *homeTarget(const target_table &Targets,
+                                std::string_view Service,
+                                std::string_view Version, std::string_view Key);
+
 } // namespace hyssopledge::state
--- a/hyssopledge/state/poison.h
+++ b/hyssopledge/state/poison.h
@@ -5,6 +5,7 @@
 
 #include "hyssopledge/state/clock.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -36,6 +37,8 @@
 public:
   static constexpr unsigned CrashesToCondemn = 2;
   static constexpr std::chrono::minutes Retention{30};
+  /// Bounds the memory; the suspect that was seen longest ago is dropped.
+  static constexpr std::size_t MaxSuspects = 10'000;
 
   /// Returns true when this sighting makes the fingerprint poison.
   bool addSighting(const crash_sighting &Sighting, time_point Now);
@@ -48,10 +51,14 @@
 
 private:
   struct suspect {
-    std::set<std::string> Crashes; // instance#incarnation
+    std::set<std::string> Crashes;   // instance#incarnation
+    std::set<std::string> Withdrawn; // crashes before a success
+    double Weight = 0;               // sum of 1 / requests in flight
     time_point LastSeen{};
     bool Condemned = false;
   };
+  void evictOldest();
+
   std::unordered_map<std::uint64_t, suspect> Suspects;
 };
 
--- a/hyssopledge/state/retry.h
+++ b/hyssopledge/state/retry.h
@@ -41,6 +41,14 @@
   time_point Now{};
 };
 
+/// Attempts that the hop below is told of, when this hop was told Received and
+/// makes its attempt number AttemptsMade (the first is 1). First attempts are
+/// always made, hence at least 1.
+inline std::uint32_t attemptsLeftBelow(std::uint32_t Received,
+                                       std::uint32_t AttemptsMade) {
+  return Received > AttemptsMade ? Received - AttemptsMade + 1 : 1;
+}
+
 /// Takes a token from the budget only when it decides for a retry.
 retry_decision decideRetry(const retry_request &Request, retry_budget &Budget);
 
--- /dev/null
+++ b/hyssopledge/state/target_stats.cpp
@@ -0,0 +1,123 @@
+#include "hyssopledge/state/target_stats.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hyssopledge::state {
+
+namespace {
+
+// Weight of one sample. With 0.2 a change of speed shows after about 5 calls.
+constexpr double SampleWeight = 0.2;
+
+std::string tableKey(const target_record &Target) {
+  return Target.Instance + "#" + std::to_string(Target.Incarnation);
+}
+
+std::int64_t nanoseconds(time_point Time) {
+  return Time.time_since_epoch().count();
+}
+
+template <class F> void update(std::atomic<double> &Value, F Next) {
+  double Old = Value.load(std::memory_order_relaxed);
+  while (
+      !Value.compare_exchange_weak(Old, Next(Old), std::memory_order_relaxed)) {
+  }
+}
+
+void recordFailure(target_stats &Stats, time_point Now) {
+  const std::uint32_t InRow = Stats.ConsecutiveFailures.fetch_add(1) + 1;
+  const bool OnTrial =
+      Stats.Ejections.load() > 0 &&
+      nanoseconds(Now) >= Stats.EjectedUntilNs.load(std::memory_order_relaxed);
+  // Late failures of calls that were sent before the ejection don't extend it.
+  if (InRow != FailuresToEject && !OnTrial)
+    return;
+  const std::uint32_t Before = Stats.Ejections.fetch_add(1);
+  const auto Duration = std::min<boot_clock::duration>(
+      FirstEjection * (1U << std::min(Before, 10U)), LongestEjection);
+  Stats.EjectedUntilNs.store(nanoseconds(Now + Duration));
+}
+
+} // namespace
+
+std::shared_ptr<target_stats>
+target_stats_registry::find(const target_record &Target) const {
+  const auto Current = Table.read();
+  const auto Found = Current->find(tableKey(Target));
+  return Found == Current->end() ? nullptr : Found->second;
+}
+
+void target_stats_registry::update(const target_table &Targets) {
+  const auto Current = Table.read();
+  auto Next = std::make_shared<table>();
+  for (const target_record &Target : Targets.Targets) {
+    const std::string Key = tableKey(Target);
+    const auto Found = Current->find(Key);
+    Next->emplace(Key, Found == Current->end()
+                           ? std::make_shared<target_stats>()
+                           : Found->second);
+  }
+  Table.publish(std::move(Next));
+}
+
+void target_stats_registry::recordStart(const target_record &Target) {
+  if (const auto Stats = find(Target))
+    Stats->InFlight.fetch_add(1, std::memory_order_relaxed);
+}
+
+void target_stats_registry::recordEnd(const target_record &Target,
+                                      attempt_outcome Outcome,
+                                      milliseconds Latency, time_point Now) {
+  const auto Stats = find(Target);
+  if (!Stats)
+    return;
+  // A call that began before the target was registered is not counted down.
+  std::uint32_t InFlight = Stats->InFlight.load(std::memory_order_relaxed);
+  while (InFlight > 0 &&
+         !Stats->InFlight.compare_exchange_weak(InFlight, InFlight - 1)) {
+  }
+  // A cancelled call says nothing of the target, except that it took at least
+  // this long.
+  const bool Success = Outcome == attempt_outcome::Success;
+  const bool Failure = !Success && Outcome != attempt_outcome::Cancelled;
+  if (Outcome != attempt_outcome::NotRun &&
+      Outcome != attempt_outcome::Failed) {
+    const double Sample =
+        std::max(0.1, static_cast<double>(Latency.count())); // below 1 ms
+    state::update(Stats->LatencyMs, [&](double Old) {
+      if (Old == 0)
+        return Sample;
+      if (!Success && Sample <= Old)
+        return Old;
+      return Old + SampleWeight * (Sample - Old);
+    });
+    Stats->LatencyAtNs.store(nanoseconds(Now), std::memory_order_relaxed);
+  }
+  if (Success || Failure)
+    state::update(Stats->FailureRate, [&](double Old) {
+      return Old + SampleWeight * ((Failure ? 1.0 : 0.0) - Old);
+    });
+  if (Success) {
+    Stats->ConsecutiveFailures.store(0, std::memory_order_relaxed);
+    if (Stats->Ejections.load(std::memory_order_relaxed) > 0) {
+      Stats->Ejections.store(0);
+      Stats->EjectedUntilNs.store(0);
+    }
+  } else if (Failure) {
+    recordFailure(*Stats, Now);
+  }
+}
+
+void target_stats_registry::recordHint(const target_record &Target,
+                                       const load_hint &Hint, time_point Now) {
+  const auto Stats = find(Target);
+  if (!Stats)
+    return;
+  Stats->HintUsed.store(Hint.SlotsUsed + Hint.Queued,
+                        std::memory_order_relaxed);
+  Stats->HintSlots.store(Hint.Slots, std::memory_order_relaxed);
+  Stats->HintAtNs.store(nanoseconds(Now), std::memory_order_relaxed);
+}
+
+} // namespace hyssopledge::state
--- a/hyssopledge/state/target_stats.h
+++ b/hyssopledge/state/target_stats.h
@@ -36,9 +36,16 @@
   std::atomic<std::uint32_t> HintUsed{
       0}; // slots used and queued, from the last response
   std::atomic<std::uint32_t> HintSlots{0};
-  std::atomic<std::int64_t> HintAtNs{0}; // when the hint came
+  std::atomic<std::int64_t> HintAtNs{0};    // when the hint came
+  std::atomic<std::int64_t> LatencyAtNs{0}; // when LatencyMs last changed
 };
 
+/// Failures in a row after which this daemon ejects a target by itself.
+constexpr std::uint32_t FailuresToEject = 5;
+/// Duration of the first ejection; it doubles at each further one.
+constexpr std::chrono::seconds FirstEjection{1};
+constexpr std::chrono::seconds LongestEjection{30};
+
 /// Keeps figures by instance and incarnation. Lookups take no lock.
 class target_stats_registry {
 public:
