--- /dev/null
+++ b/hyssopledge/coordination/jitter.h
@@ -0,0 +1,67 @@
+/// \file
+/// Random spread of times, and a budget of calls with back-off.
+#pragma once
+
+#include "hyssopledge/state/clock.h"
+#include "hyssopledge/state/random.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace hyssopledge::coordination {
+
+inline state::boot_clock::duration scaled(state::boot_clock::duration Time,
+                                          double Factor) {
+  return std::chrono::duration_cast<state::boot_clock::duration>(Time * Factor);
+}
+
+/// Uniform between Min and Max.
+inline state::boot_clock::duration between(state::random_engine &Random,
+                                           state::boot_clock::duration Min,
+                                           state::boot_clock::duration Max) {
+  return Min + scaled(Max - Min, state::unitInterval(Random()));
+}
+
+/// Bounds a daemon's calls on the platform: a token bucket, and after failures
+/// a jittered exponential back-off.
+class call_budget {
+public:
+  struct options {
+    double Burst = 160;        // calls; a first start needs one for each part
+    double CallsPerSecond = 2; // refill
+    state::milliseconds BackoffMin{500};
+    state::milliseconds BackoffMax{60000};
+  };
+  explicit call_budget(options Options) : Options(Options) {}
+  call_budget() : call_budget(options()) {}
+
+  /// Takes the calls out of the budget if it has them and no back-off runs.
+  bool take(state::time_point Now, std::size_t Calls) {
+    Tokens = std::min(
+        Options.Burst,
+        Tokens + Options.CallsPerSecond *
+                     std::chrono::duration<double>(Now - Filled).count());
+    Filled = Now;
+    if (Now < BlockedUntil || Tokens < static_cast<double>(Calls))
+      return false;
+    Tokens -= static_cast<double>(Calls);
+    return true;
+  }
+  void onSuccess() { Failures = 0; }
+  void onFailure(state::time_point Now, state::random_engine &Random) {
+    const auto Backoff = std::min<state::milliseconds>(
+        Options.BackoffMax,
+        Options.BackoffMin * (1U << std::min(Failures, 10U)));
+    ++Failures;
+    BlockedUntil = Now + between(Random, Backoff / 2, Backoff);
+  }
+
+private:
+  options Options;
+  double Tokens = Options.Burst;
+  unsigned Failures = 0;
+  state::time_point Filled{};
+  state::time_point BlockedUntil{};
+};
+
+} // namespace hyssopledge::coordination
