--- /dev/null
+++ b/hyssopledge/coordination/evidence.cpp
@@ -0,0 +1,322 @@
+#include "hyssopledge/coordination/evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hyssopledge::coordination {
+
+//-----------------------------------------------------------------------------
+// Latency histogram
+//-----------------------------------------------------------------------------
+
+std::size_t latencyBucket(state::milliseconds Latency) {
+  if (Latency.count() < 1)
+    return 0;
+  const double Log = 2 * std::log2(static_cast<double>(Latency.count()));
+  return std::min(LatencyBuckets - 1, static_cast<std::size_t>(Log) + 1);
+}
+
+std::uint64_t evidence_cell::latencyCount() const {
+  std::uint64_t Sum = 0;
+  for (std::uint64_t Count : Latency)
+    Sum += Count;
+  return Sum;
+}
+
+void evidence_cell::add(const evidence_cell &Other) {
+  Successes += Other.Successes;
+  Failures += Other.Failures;
+  WarmupCalls += Other.WarmupCalls;
+  for (std::size_t I = 0; I < LatencyBuckets; ++I)
+    Latency[I] += Other.Latency[I];
+}
+
+void evidence_cell::subtract(const evidence_cell &Other) {
+  Successes -= Other.Successes;
+  Failures -= Other.Failures;
+  WarmupCalls -= Other.WarmupCalls;
+  for (std::size_t I = 0; I < LatencyBuckets; ++I)
+    Latency[I] -= Other.Latency[I];
+}
+
+control::evidence encodeEvidence(const std::string &Service,
+                                 const stratum_key &Key,
+                                 const evidence_cell &Cell) {
+  control::evidence Entry;
+  Entry.set_service(Service);
+  Entry.set_version(Key.Version);
+  Entry.set_route(Key.Route);
+  Entry.set_data_centre(Key.DataCentre);
+  Entry.set_target_data_centre(Key.TargetDataCentre);
+  Entry.set_successes(Cell.Successes);
+  Entry.set_failures(Cell.Failures);
+  Entry.set_warmup_calls(Cell.WarmupCalls);
+  std::size_t Used = LatencyBuckets;
+  while (Used > 0 && Cell.Latency[Used - 1] == 0)
+    --Used;
+  for (std::size_t I = 0; I < Used; ++I)
+    Entry.add_latency_buckets(Cell.Latency[I]);
+  return Entry;
+}
+
+std::pair<stratum_key, evidence_cell>
+decodeEvidence(const control::evidence &Entry) {
+  evidence_cell Cell;
+  Cell.Successes = Entry.successes();
+  Cell.Failures = Entry.failures();
+  Cell.WarmupCalls = Entry.warmup_calls();
+  const std::size_t Used = std::min<std::size_t>(
+      LatencyBuckets, static_cast<std::size_t>(Entry.latency_buckets_size()));
+  for (std::size_t I = 0; I < Used; ++I)
+    Cell.Latency[I] = Entry.latency_buckets(static_cast<int>(I));
+  return {{Entry.version(), Entry.route(), Entry.data_centre(),
+           Entry.target_data_centre()},
+          Cell};
+}
+
+//-----------------------------------------------------------------------------
+// Entry daemon
+//-----------------------------------------------------------------------------
+
+evidence_recorder::evidence_recorder(std::string DataCentre)
+    : DataCentre(std::move(DataCentre)) {}
+
+void evidence_recorder::setActive(std::set<std::string> Services) {
+  const std::lock_guard<std::mutex> Guard(Inserts);
+  auto Next = std::make_shared<table>(*Table.read());
+  Next->Active = {Services.begin(), Services.end()};
+  std::erase_if(Next->Counters, [&](const auto &Entry) {
+    return !Services.contains(Entry.first.Service);
+  });
+  Table.publish(std::move(Next));
+}
+
+void evidence_recorder::record(const state::attempt_report &Report) {
+  using state::attempt_outcome;
+  if (Report.Poison || Report.Outcome == attempt_outcome::NotRun ||
+      Report.Outcome == attempt_outcome::Cancelled)
+    return;
+  const std::shared_ptr<const table> Current = Table.read();
+  if (!Current->Active.contains(Report.Service))
+    return;
+  const key_view View{Report.Service, Report.Version, Report.Route,
+                      Report.DataCentre, Report.Instance};
+  auto Found = Current->Counters.find(View);
+  const std::shared_ptr<counters> Counters =
+      Found != Current->Counters.end() ? Found->second : insert(View);
+  if (Counters == nullptr)
+    return;
+  constexpr auto Relaxed = std::memory_order_relaxed;
+  if (Report.TargetWarmingUp)
+    Counters->Warmup.fetch_add(1, Relaxed);
+  if (Report.Outcome == attempt_outcome::Failed) {
+    Counters->Failures.fetch_add(1, Relaxed);
+  } else if (Report.Outcome == attempt_outcome::Unknown) {
+    Counters->Unknown.fetch_add(1, Relaxed);
+  } else {
+    Counters->Successes.fetch_add(1, Relaxed);
+    if (!Report.TargetWarmingUp)
+      Counters->Latency[latencyBucket(Report.Latency)].fetch_add(1, Relaxed);
+  }
+}
+
+std::shared_ptr<evidence_recorder::counters>
+evidence_recorder::insert(const key_view &View) {
+  const std::lock_guard<std::mutex> Guard(Inserts);
+  const std::shared_ptr<const table> Current = Table.read();
+  if (!Current->Active.contains(View.Service))
+    return nullptr;
+  if (auto Found = Current->Counters.find(View);
+      Found != Current->Counters.end())
+    return Found->second;
+  auto Next = std::make_shared<table>(*Current);
+  auto Fresh = std::make_shared<counters>();
+  Next->Counters.emplace(key{std::string(View.Service),
+                             std::string(View.Version), std::string(View.Route),
+                             std::string(View.TargetDataCentre),
+                             std::string(View.Instance)},
+                         Fresh);
+  Table.publish(std::move(Next));
+  return Fresh;
+}
+
+std::vector<control::evidence> evidence_recorder::drain() {
+  std::map<std::pair<std::string, stratum_key>, evidence_cell> Sums;
+  constexpr auto Relaxed = std::memory_order_relaxed;
+  for (const auto &[Key, Counters] : Table.read()->Counters) {
+    evidence_cell Cell;
+    Cell.Successes = Counters->Successes.exchange(0, Relaxed);
+    Cell.Failures =
+        Counters->Failures.exchange(0, Relaxed) +
+        std::min<std::uint64_t>(1, Counters->Unknown.exchange(0, Relaxed));
+    Cell.WarmupCalls = Counters->Warmup.exchange(0, Relaxed);
+    for (std::size_t I = 0; I < LatencyBuckets; ++I)
+      Cell.Latency[I] = Counters->Latency[I].exchange(0, Relaxed);
+    if (Cell.calls() > 0)
+      Sums[{Key.Service,
+            {Key.Version, Key.Route, DataCentre, Key.TargetDataCentre}}]
+          .add(Cell);
+  }
+  std::vector<control::evidence> Entries;
+  Entries.reserve(Sums.size());
+  for (const auto &[Key, Cell] : Sums)
+    Entries.push_back(encodeEvidence(Key.first, Key.second, Cell));
+  return Entries;
+}
+
+//-----------------------------------------------------------------------------
+// Relay
+//-----------------------------------------------------------------------------
+
+evidence_aggregator::evidence_aggregator(std::string Relay)
+    : Relay(std::move(Relay)) {}
+
+std::string evidence_aggregator::sumName(const std::string &Relay) {
+  return "sum/" + Relay;
+}
+
+bool evidence_aggregator::isSum(const std::string &Reporter) {
+  return Reporter.starts_with("sum/");
+}
+
+bool evidence_aggregator::add(const control::report_request &Report) {
+  std::uint64_t &Last = LastSequence[Report.from_instance()];
+  if (Report.sequence() != 0 && Report.sequence() <= Last)
+    return false;
+  Last = Report.sequence();
+  for (const control::reporter_evidence &From : Report.evidence())
+    for (const control::evidence &Entry : From.entries()) {
+      const auto [Key, Cell] = decodeEvidence(Entry);
+      Pending[From.reporter()][{Entry.service(), Key}].add(Cell);
+      Failures[From.reporter()] += Cell.Failures;
+    }
+  return true;
+}
+
+std::optional<control::report_request>
+evidence_aggregator::drain(const std::string &Environment) {
+  if (Pending.empty())
+    return std::nullopt;
+  std::vector<std::pair<std::uint64_t, std::string>> Ranked;
+  for (const auto &[Reporter, Count] : Failures)
+    Ranked.emplace_back(Count, Reporter);
+  std::sort(Ranked.rbegin(), Ranked.rend());
+  std::set<std::string> Named;
+  for (const auto &[Count, Reporter] : Ranked)
+    if (Named.size() < NamedReporters)
+      Named.insert(Reporter);
+  std::map<std::string, sums> Out;
+  for (auto &[Reporter, Sums] : Pending) {
+    sums &Into = Out[Named.contains(Reporter) ? Reporter : sumName(Relay)];
+    for (const auto &[Key, Cell] : Sums)
+      Into[Key].add(Cell);
+  }
+  Pending.clear();
+  for (auto It = Failures.begin(); It != Failures.end();)
+    It = (It->second /= 2) == 0 ? Failures.erase(It) : std::next(It);
+
+  control::report_request Report;
+  Report.set_environment(Environment);
+  Report.set_from_instance(Relay);
+  Report.set_aggregated(true);
+  Report.set_sequence(++Sequence);
+  for (const auto &[Reporter, Sums] : Out) {
+    control::reporter_evidence &From = *Report.add_evidence();
+    From.set_reporter(Reporter);
+    for (const auto &[Key, Cell] : Sums)
+      *From.add_entries() = encodeEvidence(Key.first, Key.second, Cell);
+  }
+  return Report;
+}
+
+//-----------------------------------------------------------------------------
+// Whoever decides
+//-----------------------------------------------------------------------------
+
+void evidence_series::add(const std::string &Reporter, const stratum_key &Key,
+                          const evidence_cell &Cell) {
+  const auto [R, NewReporter] =
+      ReporterIndex.try_emplace(Reporter, Reporters.size());
+  if (NewReporter)
+    Reporters.push_back(Reporter);
+  const auto [K, NewKey] = KeyIndex.try_emplace(Key, Keys.size());
+  if (NewKey)
+    Keys.push_back(std::make_unique<stratum_key>(Key));
+  const auto [S, NewSlot] =
+      SlotIndex.try_emplace({R->second, K->second}, Slots.size());
+  if (NewSlot) {
+    Slots.emplace_back(R->second, K->second);
+    Total.emplace_back();
+  }
+  Total[S->second].add(Cell);
+}
+
+void evidence_series::closeSlice() {
+  ++StepAge;
+  Marks.push_back(Total);
+  if (Marks.size() > MaxWindow)
+    Marks.pop_front();
+}
+
+void evidence_series::markStep() {
+  StepMark = Total;
+  StepAge = 0;
+}
+
+const evidence_series::cells *evidence_series::start(std::size_t Slices) const {
+  if (Slices == SinceStep || Slices > StepAge)
+    return &StepMark;
+  return Slices <= Marks.size() ? &Marks[Marks.size() - Slices] : nullptr;
+}
+
+evidence_sums evidence_series::sums(std::size_t Slices,
+                                    std::optional<std::size_t> Without) const {
+  const cells *Start = start(Slices);
+  std::vector<evidence_cell> ByKey(Keys.size());
+  for (std::size_t S = 0; S < Slots.size(); ++S) {
+    if (Slots[S].first == Without)
+      continue;
+    evidence_cell &Cell = ByKey[Slots[S].second];
+    Cell.add(Total[S]);
+    if (Start != nullptr && S < Start->size())
+      Cell.subtract((*Start)[S]);
+  }
+  evidence_sums Sums;
+  Sums.reserve(Keys.size());
+  for (std::size_t K = 0; K < Keys.size(); ++K)
+    if (ByKey[K].calls() > 0)
+      Sums.push_back({Keys[K].get(), ByKey[K]});
+  return Sums;
+}
+
+void evidence_series::keepBaseline(const std::string &Version) {
+  std::vector<std::pair<std::size_t, evidence_cell>> Next;
+  for (const stratum_sum &Sum : sums(MaxWindow))
+    if (Sum.Key->Version == Version)
+      Next.emplace_back(KeyIndex.at(*Sum.Key), Sum.Cell);
+  if (!Next.empty())
+    Baseline = std::move(Next);
+}
+
+evidence_sums
+evidence_series::sumsWithBaseline(std::size_t Slices,
+                                  const std::string &Version,
+                                  std::optional<std::size_t> Without) const {
+  evidence_sums Sums = sums(Slices, Without);
+  std::erase_if(Sums, [&](const stratum_sum &Sum) {
+    return Sum.Key->Version != Version;
+  });
+  for (const auto &[Key, Cell] : Baseline)
+    Sums.push_back({Keys[Key].get(), Cell});
+  return Sums;
+}
+
+std::vector<std::size_t> evidence_series::removable() const {
+  std::vector<std::size_t> Indices;
+  for (std::size_t R = 0; R < Reporters.size(); ++R)
+    if (!evidence_aggregator::isSum(Reporters[R]))
+      Indices.push_back(R);
+  return Indices;
+}
+
+} // namespace hyssopledge::coordination
--- /dev/null
+++ b/hyssopledge/coordination/version_test.cpp
@@ -0,0 +1,433 @@
+#include "hyssopledge/coordination/version_test.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <string_view>
+
+namespace hyssopledge::coordination {
+
+namespace {
+
+// Least samples for an estimate; below them a test stays undecided.
+constexpr std::uint64_t LeastOldCalls = 20;
+constexpr std::uint64_t LeastOldLatencies = 20; // in one data centre
+constexpr std::uint64_t LeastNewLatencies = 5;  // in one data centre
+// Old calls a data centre needs before its own failure rate outweighs the
+// total's.
+constexpr double RatePriorCalls = 30;
+// 2 buckets are a factor of 2.
+constexpr double BucketsPerDoubling = 2;
+constexpr double Normal95 = 1.645; // one-sided 95% quantile
+// Without a common data centre the distance between centres is part of the
+// difference, so twice the slowdown is asked for.
+constexpr double CrossCentreFactor = 2;
+
+struct counts {
+  double Calls = 0;
+  double Failures = 0;
+  std::uint64_t LatencyCount = 0;
+  std::array<std::uint64_t, LatencyBuckets> Latency{};
+
+  void add(const evidence_cell &Cell) {
+    Calls += static_cast<double>(Cell.calls());
+    Failures += static_cast<double>(Cell.Failures);
+    for (std::size_t I = 0; I < LatencyBuckets; ++I) {
+      Latency[I] += Cell.Latency[I];
+      LatencyCount += Cell.Latency[I];
+    }
+  }
+};
+
+struct centre {
+  std::string_view Name;
+  counts Old;
+  counts New;
+};
+using centres = std::vector<centre>;
+
+centres collect(const evidence_sums &Sums, const std::string &Old,
+                const std::string &New, std::string_view Route) {
+  centres Centres;
+  for (const stratum_sum &Sum : Sums) {
+    if (!Route.empty() && Sum.Key->Route != Route)
+      continue;
+    const bool IsNew = Sum.Key->Version == New;
+    if (!IsNew && Sum.Key->Version != Old)
+      continue;
+    const std::string_view Name = Sum.Key->TargetDataCentre;
+    auto Found =
+        std::find_if(Centres.begin(), Centres.end(),
+                     [&](const centre &Other) { return Other.Name == Name; });
+    if (Found == Centres.end())
+      Found = Centres.insert(Centres.end(), centre{Name, {}, {}});
+    (IsNew ? Found->New : Found->Old).add(Sum.Cell);
+  }
+  return Centres;
+}
+
+/// Upper end of the Wilson interval.
+double wilsonUpper(double Hits, double Calls, double Z) {
+  if (Calls <= 0)
+    return 1;
+  const double Rate = Hits / Calls;
+  const double Z2 = Z * Z / Calls;
+  return (Rate + Z2 / 2 + Z * std::sqrt((Rate * (1 - Rate) + Z2 / 4) / Calls)) /
+         (1 + Z2);
+}
+
+/// Log likelihood ratio of Hits in Calls: beta(1/2, 1/2) mixture against the
+/// rate Bound. 0 when the observed rate is not above the bound.
+double logRatio(double Hits, double Calls, double Bound) {
+  if (Calls <= 0 || Bound >= 1 || Hits <= Bound * Calls)
+    return 0;
+  const double Misses = Calls - Hits;
+  const double LogBeta = std::lgamma(Hits + 0.5) + std::lgamma(Misses + 0.5) -
+                         std::lgamma(Calls + 1) - 2 * std::lgamma(0.5);
+  return LogBeta - Hits * std::log(Bound) - Misses * std::log1p(-Bound);
+}
+
+struct hit_counts {
+  double OldCalls = 0, OldHits = 0, NewCalls = 0, NewHits = 0;
+};
+
+/// Largest tolerated rate of the new version, weighted by its calls in each
+/// data centre. 1 when the old version has too few calls.
+double toleratedRate(const std::vector<hit_counts> &Centres, double Factor,
+                     double Rise) {
+  hit_counts Sum;
+  for (const hit_counts &Centre : Centres) {
+    Sum.OldCalls += Centre.OldCalls;
+    Sum.OldHits += Centre.OldHits;
+    Sum.NewCalls += Centre.NewCalls;
+  }
+  if (Sum.OldCalls < LeastOldCalls || Sum.NewCalls <= 0)
+    return 1;
+  const double Upper = wilsonUpper(Sum.OldHits, Sum.OldCalls, Normal95);
+  double Tolerated = 0;
+  for (const hit_counts &Centre : Centres) {
+    const double Rate = (Centre.OldHits + RatePriorCalls * Upper) /
+                        (Centre.OldCalls + RatePriorCalls);
+    Tolerated += Centre.NewCalls * std::min(1.0, Factor * Rate + Rise);
+  }
+  return Tolerated / Sum.NewCalls;
+}
+
+struct rate_result {
+  double LogRatio = 0;
+  double Tolerated = 1;
+  hit_counts Sum;
+};
+
+rate_result testRate(const std::vector<hit_counts> &Centres, double Factor,
+                     double Rise) {
+  rate_result Result;
+  for (const hit_counts &Centre : Centres) {
+    Result.Sum.OldCalls += Centre.OldCalls;
+    Result.Sum.OldHits += Centre.OldHits;
+    Result.Sum.NewCalls += Centre.NewCalls;
+    Result.Sum.NewHits += Centre.NewHits;
+  }
+  Result.Tolerated = toleratedRate(Centres, Factor, Rise);
+  Result.LogRatio =
+      logRatio(Result.Sum.NewHits, Result.Sum.NewCalls, Result.Tolerated);
+  return Result;
+}
+
+std::vector<hit_counts> errorCounts(const centres &Centres) {
+  std::vector<hit_counts> Counts;
+  Counts.reserve(Centres.size());
+  for (const centre &Centre : Centres)
+    Counts.push_back({Centre.Old.Calls, Centre.Old.Failures, Centre.New.Calls,
+                      Centre.New.Failures});
+  return Counts;
+}
+
+std::vector<hit_counts> slowCounts(const centres &Centres) {
+  std::vector<hit_counts> Counts;
+  for (const centre &Centre : Centres) {
+    if (Centre.Old.LatencyCount < LeastOldLatencies)
+      continue;
+    std::uint64_t Seen = 0;
+    std::size_t Quantile = 0;
+    while (Quantile + 1 < LatencyBuckets &&
+           static_cast<double>(Seen + Centre.Old.Latency[Quantile]) <
+               0.95 * static_cast<double>(Centre.Old.LatencyCount))
+      Seen += Centre.Old.Latency[Quantile++];
+    hit_counts Hits;
+    Hits.OldCalls = static_cast<double>(Centre.Old.LatencyCount);
+    Hits.NewCalls = static_cast<double>(Centre.New.LatencyCount);
+    // 4 buckets are a factor of 4.
+    for (std::size_t I = Quantile + 5; I < LatencyBuckets; ++I) {
+      Hits.OldHits += static_cast<double>(Centre.Old.Latency[I]);
+      Hits.NewHits += static_cast<double>(Centre.New.Latency[I]);
+    }
+    Counts.push_back(Hits);
+  }
+  return Counts;
+}
+
+struct moments {
+  double Mean = 0;
+  double Variance = 0;
+};
+
+moments latencyMoments(const counts &Counts) {
+  double Sum = 0;
+  double Squares = 0;
+  for (std::size_t I = 0; I < LatencyBuckets; ++I) {
+    const double Count = static_cast<double>(Counts.Latency[I]);
+    const double Position = static_cast<double>(I);
+    Sum += Count * Position;
+    Squares += Count * Position * Position;
+  }
+  const double N = static_cast<double>(Counts.LatencyCount);
+  const double Mean = Sum / N;
+  // The floor stands for the width of a bucket and keeps a few equal values
+  // from looking certain.
+  return {Mean, std::max(0.5, Squares / N - Mean * Mean)};
+}
+
+struct latency_result {
+  bool Known = false;
+  double Difference = 0; // in buckets
+  double Variance = 0;   // sampling variance of Difference
+  double Threshold = 0;  // in buckets
+};
+
+latency_result testLatency(const centres &Centres,
+                           const test_settings &Settings) {
+  // Log spread in buckets; a difference of two targets has twice its variance.
+  const double Spread =
+      Settings.BackEndSpread * BucketsPerDoubling / std::log(2.0);
+  const double SpreadVariance = 2 * Spread * Spread;
+  double Weights = 0, Weighted = 0, Sampling = 0, Between = 0;
+  const auto Add = [&](const counts &Old, const counts &New) {
+    const moments OldMoments = latencyMoments(Old);
+    const moments NewMoments = latencyMoments(New);
+    const double Variance =
+        OldMoments.Variance / static_cast<double>(Old.LatencyCount) +
+        NewMoments.Variance / static_cast<double>(New.LatencyCount);
+    const double Weight = 1 / (Variance + SpreadVariance);
+    Weights += Weight;
+    Weighted += Weight * (NewMoments.Mean - OldMoments.Mean);
+    Sampling += Weight * Weight * Variance;
+    Between += Weight * Weight * SpreadVariance;
+  };
+  double Factor = Settings.LeastSlowdown;
+  counts AllOld, AllNew;
+  for (const centre &Centre : Centres) {
+    if (Centre.Old.LatencyCount >= LeastOldLatencies &&
+        Centre.New.LatencyCount >= LeastNewLatencies)
+      Add(Centre.Old, Centre.New);
+    for (std::size_t I = 0; I < LatencyBuckets; ++I) {
+      AllOld.Latency[I] += Centre.Old.Latency[I];
+      AllNew.Latency[I] += Centre.New.Latency[I];
+    }
+    AllOld.LatencyCount += Centre.Old.LatencyCount;
+    AllNew.LatencyCount += Centre.New.LatencyCount;
+  }
+  if (Weights == 0) {
+    if (AllOld.LatencyCount < LeastOldLatencies ||
+        AllNew.LatencyCount < LeastNewLatencies)
+      return {};
+    Factor *= CrossCentreFactor;
+    Add(AllOld, AllNew);
+  }
+  latency_result Result;
+  Result.Known = true;
+  Result.Difference = Weighted / Weights;
+  Result.Variance = Sampling / (Weights * Weights);
+  Result.Threshold =
+      BucketsPerDoubling * std::log2(Factor) + 2 * std::sqrt(Between) / Weights;
+  return Result;
+}
+
+/// Half width of the normal mixture confidence sequence, in standard errors.
+double mixtureWidth(double Variance, double FalseAlarm) {
+  // Tuned to information 1, where a difference of about 5 buckets decides.
+  constexpr double Rho = 1;
+  const double Information = 1 / Variance;
+  return std::sqrt(
+      (1 + Rho / Information) *
+      std::log((Information + Rho) / (Rho * FalseAlarm * FalseAlarm)));
+}
+
+template <class... T> std::string format(const char *Format, T... Values) {
+  char Text[240];
+  std::snprintf(Text, sizeof(Text), Format, Values...);
+  return Text;
+}
+
+std::string rateFigures(const rate_result &Rate) {
+  return format("new %.0f of %.0f, old %.0f of %.0f, tolerated rate %.4f, log "
+                "likelihood ratio %.1f",
+                Rate.Sum.NewHits, Rate.Sum.NewCalls, Rate.Sum.OldHits,
+                Rate.Sum.OldCalls, Rate.Tolerated, Rate.LogRatio);
+}
+
+/// Runs the three tests on one route, or in total for an empty route.
+version_comparison compareOn(const centres &Centres, std::string_view Route,
+                             const test_settings &Settings) {
+  version_comparison Result;
+  Result.Route = std::string(Route);
+  const double Limit = -std::log(Settings.FalseAlarm);
+  const rate_result Errors = testRate(
+      errorCounts(Centres), Settings.ErrorFactor, Settings.LeastErrorRise);
+  const rate_result Slow = testRate(slowCounts(Centres), Settings.ErrorFactor,
+                                    Settings.LeastSlowRise);
+  const latency_result Latency = testLatency(Centres, Settings);
+  Result.NewCalls = static_cast<std::uint64_t>(Errors.Sum.NewCalls);
+  Result.OldCalls = static_cast<std::uint64_t>(Errors.Sum.OldCalls);
+  const double Deviation = std::sqrt(Latency.Variance);
+  const double Excess = Latency.Difference - Latency.Threshold;
+
+  const auto Say = [&](version_verdict Verdict, bool Suspicious,
+                       const char *Rule, std::string Figures) {
+    Result.Verdict = Verdict;
+    Result.Suspicious = Suspicious;
+    Result.Rule = Rule;
+    Result.Figures = std::move(Figures);
+    return Result;
+  };
+  const auto LatencyFigures = [&] {
+    return format("new %.0f calls, old %.0f calls, latency factor %.2f, "
+                  "tolerated %.2f, standard error %.2f",
+                  Errors.Sum.NewCalls, Errors.Sum.OldCalls,
+                  std::exp2(Latency.Difference / BucketsPerDoubling),
+                  std::exp2(Latency.Threshold / BucketsPerDoubling),
+                  Deviation / BucketsPerDoubling);
+  };
+  if (Errors.LogRatio > Limit)
+    return Say(version_verdict::Bad, true, "error_rate", rateFigures(Errors));
+  if (Latency.Known &&
+      Excess > Deviation * mixtureWidth(Latency.Variance, Settings.FalseAlarm))
+    return Say(version_verdict::Bad, true, "latency", LatencyFigures());
+  if (Slow.LogRatio > Limit)
+    return Say(version_verdict::Bad, true, "slow_calls", rateFigures(Slow));
+
+  if (Errors.LogRatio > Settings.Suspicion)
+    return Say(version_verdict::Undecided, true, "error_rate",
+               rateFigures(Errors));
+  if (Slow.LogRatio > Settings.Suspicion)
+    return Say(version_verdict::Undecided, true, "slow_calls",
+               rateFigures(Slow));
+  if (Latency.Known && Excess > 3 * Deviation)
+    return Say(version_verdict::Undecided, true, "latency", LatencyFigures());
+  // Room of 0.02 above the tolerated rate, so that a good version passes with
+  // RequiredCalls and does not need the thousands that a closer bound asks for.
+  const bool Clean = Result.NewCalls >= Settings.RequiredCalls &&
+                     Errors.Tolerated < 1 &&
+                     wilsonUpper(Errors.Sum.NewHits, Errors.Sum.NewCalls,
+                                 Normal95) <= Errors.Tolerated + 0.02 &&
+                     Latency.Known && Excess + Normal95 * Deviation < 0;
+  return Say(Clean ? version_verdict::GoodEnough : version_verdict::Undecided,
+             false, Clean ? "as_good" : "too_few_calls",
+             rateFigures(Errors) + "; " + LatencyFigures());
+}
+
+constexpr std::size_t Windows[] = {1, 3, 10, 30, evidence_series::SinceStep};
+
+using window_sums =
+    std::function<evidence_sums(std::size_t, std::optional<std::size_t>)>;
+
+version_comparison judge(const evidence_series &Series, const window_sums &Sums,
+                         const std::string &Old, const std::string &New,
+                         const test_settings &Settings) {
+  const std::vector<std::size_t> Removable = Series.removable();
+  version_comparison Result;
+  bool Suspicious = false;
+  for (std::size_t Window : Windows) {
+    version_comparison Total =
+        compareVersions(Sums(Window, {}), Old, New, Settings);
+    Suspicious = Suspicious || Total.Suspicious;
+    if (Total.Verdict == version_verdict::Bad &&
+        std::all_of(Removable.begin(), Removable.end(), [&](std::size_t R) {
+          return compareVersions(Sums(Window, R), Old, New, Settings).Verdict ==
+                 version_verdict::Bad;
+        }))
+      return Total;
+    Result = std::move(Total);
+  }
+  // The last window is SinceStep.
+  if (!Suspicious)
+    return Result;
+  for (std::size_t R : Removable) {
+    bool Clean = true;
+    version_comparison Rest;
+    for (std::size_t Window : Windows) {
+      Rest = compareVersions(Sums(Window, R), Old, New, Settings);
+      Clean = Clean && !Rest.Suspicious;
+      if (!Clean)
+        break;
+    }
+    if (!Clean)
+      continue;
+    Rest.Figures += "; without reporter " + Series.reporterName(R);
+    return Rest;
+  }
+  if (Result.Verdict != version_verdict::Undecided)
+    Result.Verdict = version_verdict::Undecided;
+  Result.Suspicious = true;
+  return Result;
+}
+
+} // namespace
+
+version_comparison compareVersions(const evidence_sums &Sums,
+                                   const std::string &Old,
+                                   const std::string &New,
+                                   const test_settings &Settings) {
+  version_comparison Total =
+      compareOn(collect(Sums, Old, New, {}), {}, Settings);
+  if (Total.Verdict == version_verdict::Bad)
+    return Total;
+  std::vector<std::string_view> Routes;
+  for (const stratum_sum &Sum : Sums)
+    if (!Sum.Key->Route.empty() &&
+        std::find(Routes.begin(), Routes.end(), Sum.Key->Route) == Routes.end())
+      Routes.push_back(Sum.Key->Route);
+  if (Routes.size() < 2)
+    return Total;
+  for (std::string_view Route : Routes) {
+    version_comparison One =
+        compareOn(collect(Sums, Old, New, Route), Route, Settings);
+    if (One.Verdict == version_verdict::Bad ||
+        (One.Suspicious && !Total.Suspicious)) {
+      One.NewCalls = Total.NewCalls;
+      One.OldCalls = Total.OldCalls;
+      Total = One;
+      if (One.Verdict == version_verdict::Bad)
+        return Total;
+    }
+  }
+  return Total;
+}
+
+version_comparison judgeVersions(const evidence_series &Series,
+                                 const std::string &Old, const std::string &New,
+                                 const test_settings &Settings) {
+  return judge(
+      Series,
+      [&](std::size_t Window, std::optional<std::size_t> Without) {
+        return Series.sums(Window, Without);
+      },
+      Old, New, Settings);
+}
+
+version_comparison judgeAgainstBaseline(const evidence_series &Series,
+                                        const std::string &Old,
+                                        const std::string &New,
+                                        const test_settings &Settings) {
+  if (!Series.hasBaseline())
+    return {};
+  return judge(
+      Series,
+      [&](std::size_t Window, std::optional<std::size_t> Without) {
+        return Series.sumsWithBaseline(Window, New, Without);
+      },
+      Old, New, Settings);
+}
+
+} // namespace hyssopledge::coordination
