Evaluate a test condition before RC_ASSERT

RC_ASSERT builds its message from both sides of ||, so error() ran on a valid result and aborted. The condition is unchanged.

--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -90,7 +90,9 @@
     Text[At % Text.size()] = Byte;
     Text.resize(Text.size() - Cut % 3U * (At % Text.size()) / 2);
     auto Parsed = protocol::parseDaemonSettings(Text);
-    RC_ASSERT(Parsed.has_value() || !Parsed.error().Detail.empty());
+    // RC_ASSERT evaluates both sides of ||, and error() aborts on a value.
+    const bool Clear = Parsed.has_value() || !Parsed.error().Detail.empty();
+    RC_ASSERT(Clear);
     (void)protocol::parseOperatorSettings(Text);
   }));
 }
