--- /dev/null
+++ b/apps/hyssopd/daemon.h
@@ -0,0 +1,85 @@
+/// \file
+/// One hyssopd: control side and data plane joined, from settings to shutdown.
+#pragma once
+
+#include "apps/hyssopd/rollout_runtime.h"
+#include "apps/hyssopd/view_builder.h"
+#include "hyssopledge/protocol/settings.h"
+#include "hyssopledge/state/picker.h"
+#include "hyssopledge/state/poison.h"
+#include "hyssopledge/state/result.h"
+#include "hyssopledge/state/retry.h"
+#include "hyssopledge/transport/admin_server.h"
+#include "hyssopledge/transport/control_plane.h"
+#include "hyssopledge/transport/data_plane.h"
+#include "hyssopledge/transport/etcd_client.h"
+#include "hyssopledge/transport/logging.h"
+#include "hyssopledge/transport/metrics.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hyssopledge::hyssopd {
+
+/// The thread that calls run() is the control thread; the data plane has its
+/// own threads and hands events over.
+class daemon {
+public:
+  /// Binds all addresses; Unavailable when one is in use.
+  static state::result<std::unique_ptr<daemon>>
+  open(const protocol::daemon_settings &Settings);
+  ~daemon();
+
+  /// Returns after SIGTERM or SIGINT, when what was admitted has finished.
+  void run();
+
+private:
+  explicit daemon(const protocol::daemon_settings &Settings);
+  state::result<bool> start();
+
+  //--- Events, control thread -------------------------------------------------
+  void onSnapshot(std::shared_ptr<const state::snapshot> Snapshot);
+  void onMembers(const std::vector<control::member> &Members);
+  void onRecord(const control::gossip_record &Record);
+  void onAnnouncement(std::optional<state::upstream_announcement> Announcement);
+  void onCrash(const std::vector<state::crash_sighting> &Sightings);
+  void onSuccess(std::uint64_t Fingerprint);
+  void onTick(state::time_point Now);
+  void onSignal(int Number);
+  void awaitSignal();
+  void refreshPoison(state::time_point Now);
+  void setTargets();
+  void updateMetrics(state::time_point Now);
+
+  //--- Data plane -------------------------------------------------------------
+  transport::data_plane_hooks dataPlaneHooks();
+  state::admission_limits limitsOf(const std::string &Service) const;
+  std::string status() const; // JSON
+
+  protocol::daemon_settings Settings;
+  boost::asio::io_context Context;
+  boost::asio::signal_set Signals;
+  transport::asio_timer_service Timers;
+  transport::metrics Metrics;
+  state::target_stats_registry Stats;
+  view_builder View;
+  std::unique_ptr<state::picker> Picker;
+  state::retry_budget Budget;
+  state::poison_detector Poison;
+  state::rcu_cell<state::poison_table>
+      Suspects; // with sightings, not condemned
+  std::optional<state::upstream_announcement> Upstream;
+  transport::etcd_client Platform;
+  std::unique_ptr<transport::control_plane> Control;
+  std::unique_ptr<rollout_runtime> Rollouts;
+  std::unique_ptr<transport::data_plane> Data;
+  std::unique_ptr<transport::admin_server> Admin;
+  std::unique_ptr<state::timer_subscription> Tick;
+  bool Leaving = false;
+};
+
+} // namespace hyssopledge::hyssopd
--- /dev/null
+++ b/apps/hyssopd/rollout_runtime.cpp
@@ -0,0 +1,142 @@
+#include "apps/hyssopd/rollout_runtime.h"
+
+#include <chrono>
+#include <set>
+#include <utility>
+
+namespace hyssopledge::hyssopd {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds SliceLength = 2000ms;
+
+std::chrono::milliseconds unixNow() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
+bool isOpen(state::rollout_phase Phase) {
+  return Phase == state::rollout_phase::Running ||
+         Phase == state::rollout_phase::Watching;
+}
+
+} // namespace
+
+rollout_runtime::rollout_runtime(rollout_options Chosen, rollout_hooks Sinks,
+                                 coordination::platform_store &Platform,
+                                 const coordination::seat &Seat,
+                                 view_builder &View,
+                                 const state::timer_service &Timers)
+    : Options(std::move(Chosen)), Hooks(std::move(Sinks)), View(View),
+      Recorder(Options.DataCentre), OwnVoter(Options.Instance, {}),
+      RelayVoter(Options.Instance, {}),
+      Coordinator(
+          {.Environment = Options.Environment, .Instance = Options.Instance},
+          Platform, Seat, coordination::makeEvidencePolicy(), Hooks.Publish,
+          [&Timers] { return Timers.now(); }) {
+  refresh();
+}
+
+void rollout_runtime::refresh() {
+  Directives = Book.directives();
+  Verdicts = Book.verdicts(Votes, Electorate);
+  std::set<std::string> Active;
+  for (const auto &[Service, Directive] : Directives->ByService)
+    if (isOpen(Directive.Phase))
+      Active.insert(Service);
+  Recorder.setActive(std::move(Active));
+  OwnVoter.onDirectives(*Directives);
+  RelayVoter.onDirectives(*Directives);
+  View.setRollouts(Directives, Verdicts);
+}
+
+void rollout_runtime::onSnapshot(std::shared_ptr<const state::snapshot> Next,
+                                 std::int64_t AcceptedUnixMs,
+                                 state::time_point Now) {
+  Coordinator.onSnapshot(std::move(Next), AcceptedUnixMs, Now);
+}
+
+void rollout_runtime::onMembers(const std::vector<control::member> &Members,
+                                state::time_point Now) {
+  Electorate = coordination::electorateOf(Members);
+  Coordinator.onMembers(Members, Now);
+  refresh();
+}
+
+void rollout_runtime::onRecord(const control::gossip_record &Record) {
+  Coordinator.onRecord(Record);
+  if (Record.kind() == control::RECORD_DIRECTIVE) {
+    const auto Accepted = Book.accept(Record);
+    if (!Accepted || !Accepted.value())
+      return;
+    refresh();
+    const state::rollout_directive &Directive =
+        Directives->ByService.at(Record.key());
+    Hooks.Log("event=directive service=" + Directive.Service +
+              " to=" + Directive.ToVersion +
+              " generation=" + std::to_string(Directive.Generation) +
+              " step=" + std::to_string(Directive.Step) +
+              " share=" + std::to_string(Directive.Share));
+    Hooks.Acknowledge(Book.positions());
+  } else if (Record.kind() == control::RECORD_VOTE) {
+    const auto Added = Votes.add(Record);
+    if (Added && Added.value())
+      refresh();
+  }
+}
+
+void rollout_runtime::onReport(const control::report_request &Report,
+                               state::time_point Now) {
+  Coordinator.onReport(Report, Now);
+}
+
+void rollout_runtime::onMemberReport(const control::report_request &Report) {
+  for (const control::reporter_evidence &Evidence : Report.evidence())
+    RelayVoter.addReport(Evidence);
+}
+
+void rollout_runtime::vote(const control::vote &Vote) {
+  Hooks.Log("event=vote service=" + Vote.service() +
+            " version=" + Vote.version() +
+            " generation=" + std::to_string(Vote.generation()) + " reason=\"" +
+            Vote.reason() + "\"");
+  Votes.add(Vote);
+  Hooks.Publish(coordination::encodeVote(Vote));
+}
+
+void rollout_runtime::closeSlice(bool PlatformDown) {
+  const std::vector<control::evidence> Drained = Recorder.drain();
+  if (!Drained.empty()) {
+    OwnVoter.addOwn(Drained);
+    control::reporter_evidence Report;
+    Report.set_reporter(Options.Instance);
+    for (const control::evidence &Entry : Drained)
+      *Report.add_entries() = Entry;
+    Hooks.SendEvidence(std::move(Report));
+  }
+  bool Changed = false;
+  for (const control::vote &Vote : OwnVoter.closeSlice(PlatformDown)) {
+    // Whoever votes from its own calls stops using the version at once.
+    Book.avoid({Vote.service(), Vote.version(), Vote.generation()});
+    vote(Vote);
+    Changed = true;
+  }
+  for (const control::vote &Vote : RelayVoter.closeSlice(PlatformDown)) {
+    vote(Vote);
+    Changed = true;
+  }
+  if (Changed)
+    refresh();
+}
+
+void rollout_runtime::tick(state::time_point Now, bool PlatformDown) {
+  if (Now >= SliceEnds) {
+    SliceEnds = Now + SliceLength;
+    closeSlice(PlatformDown);
+  }
+  Coordinator.tick(Now, unixNow());
+}
+
+} // namespace hyssopledge::hyssopd
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -17,10 +17,10 @@
 namespace hyssopledge::bench {
 
 struct fleet_options {
-  std::string BinaryDir;         // build folder with the programs
+  std::string BinaryDir; // build folder with the programs
   unsigned Daemons = 8;
   unsigned DataCentres = 4;
-  unsigned Services = 4;         // of the document
+  unsigned Services = 4;           // of the document
   std::uint16_t FirstPort = 20000; // four ports for each daemon from here on
 };
 
--- /dev/null
+++ b/hyssopledge/coordination/version_voter.cpp
@@ -0,0 +1,79 @@
+#include "hyssopledge/coordination/version_voter.h"
+
+#include <utility>
+
+namespace hyssopledge::coordination {
+
+namespace {
+
+bool isOpen(const state::rollout_directive &Directive) {
+  return Directive.Phase == state::rollout_phase::Running ||
+         Directive.Phase == state::rollout_phase::Watching;
+}
+
+} // namespace
+
+version_voter::version_voter(std::string Voter, test_settings Settings)
+    : Voter(std::move(Voter)), Settings(std::move(Settings)) {}
+
+void version_voter::onDirectives(const state::directive_table &Directives) {
+  std::erase_if(Watched, [&Directives](const auto &Item) {
+    auto Found = Directives.ByService.find(Item.first);
+    return Found == Directives.ByService.end() || !isOpen(Found->second);
+  });
+  for (const auto &[Service, Directive] : Directives.ByService) {
+    if (!isOpen(Directive))
+      continue;
+    watched &Entry = Watched[Service];
+    if (Entry.Series == nullptr ||
+        Entry.Directive.Generation != Directive.Generation) {
+      Entry.Series = std::make_unique<evidence_series>();
+    } else if (Entry.Directive.Share != Directive.Share) {
+      if (Directive.Share >= 1)
+        Entry.Series->keepBaseline(Directive.FromVersion);
+      Entry.Series->markStep();
+    }
+    Entry.Directive = Directive;
+  }
+}
+
+void version_voter::add(const std::string &Reporter,
+                        const control::evidence &Entry) {
+  auto Found = Watched.find(Entry.service());
+  if (Found == Watched.end())
+    return;
+  const auto [Key, Cell] = decodeEvidence(Entry);
+  Found->second.Series->add(Reporter, Key, Cell);
+}
+
+void version_voter::addOwn(const std::vector<control::evidence> &Entries) {
+  // A daemon is its own only reporter, which can't be left out.
+  const std::string Reporter = evidence_aggregator::sumName(Voter);
+  for (const control::evidence &Entry : Entries)
+    add(Reporter, Entry);
+}
+
+void version_voter::addReport(const control::reporter_evidence &Report) {
+  for (const control::evidence &Entry : Report.entries())
+    add(Report.reporter(), Entry);
+}
+
+std::vector<control::vote> version_voter::closeSlice(bool PlatformDown) {
+  std::vector<control::vote> Votes;
+  for (auto &[Service, Entry] : Watched) {
+    Entry.Series->closeSlice();
+    const ballot Ballot{Service, Entry.Directive.ToVersion,
+                        Entry.Directive.Generation};
+    if (Voted.contains(Ballot))
+      continue;
+    const ballot_paper Paper{Voter, Entry.Directive, *Entry.Series,
+                             PlatformDown};
+    if (auto Vote = castVote(Paper, Settings)) {
+      Voted.insert(Ballot);
+      Votes.push_back(std::move(*Vote));
+    }
+  }
+  return Votes;
+}
+
+} // namespace hyssopledge::coordination
--- /dev/null
+++ b/hyssopledge/coordination/version_voter.h
@@ -0,0 +1,46 @@
+/// \file
+/// Turns evidence into votes while rollouts run, on any daemon and without the
+/// platform.
+#pragma once
+
+#include "hyssopledge/coordination/verdicts.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hyssopledge::coordination {
+
+/// Each daemon runs one on its own evidence, a relay a second one on the
+/// reports of its data centre. Not thread-safe: control strand.
+class version_voter {
+public:
+  version_voter(std::string Voter, test_settings Settings);
+
+  /// Starts and ends series with the directives. A new share starts a new
+  /// window of evidence.
+  void onDirectives(const state::directive_table &Directives);
+  /// Evidence of this daemon alone, from evidence_recorder::drain.
+  void addOwn(const std::vector<control::evidence> &Entries);
+  void addReport(const control::reporter_evidence &Report);
+  /// Ends a slice of evidence and judges. Call once each report interval.
+  /// Returns the votes that are new.
+  std::vector<control::vote> closeSlice(bool PlatformDown);
+
+private:
+  struct watched {
+    state::rollout_directive Directive;
+    std::unique_ptr<evidence_series> Series;
+  };
+  void add(const std::string &Reporter, const control::evidence &Entry);
+
+  std::string Voter;
+  test_settings Settings;
+  std::map<std::string, watched> Watched; // by service
+  std::set<ballot> Voted;
+};
+
+} // namespace hyssopledge::coordination
