--- /dev/null
+++ b/hyssopledge/transport/data_plane.cpp
@@ -0,0 +1,148 @@
+#include "hyssopledge/transport/data_plane.h"
+
+#include "hyssopledge/protocol/call_headers.h"
+#include "hyssopledge/transport/data_plane_core.h"
+#include "hyssopledge/transport/loop_group.h"
+#include "hyssopledge/transport/tracing.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+namespace hyssopledge::transport {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// How often a drain looks whether the last answer is written.
+constexpr std::chrono::milliseconds DrainCheck{5};
+
+} // namespace
+
+std::unique_ptr<opentracing::Span> startHopSpan(const plane_core &Core,
+                                                const char *Name,
+                                                const http_request &Request) {
+  if (!Core.Options.Tracer)
+    return nullptr;
+  const auto Parent = extractTrace(*Core.Options.Tracer, Request);
+  auto Span = Core.Options.Tracer->StartSpan(
+      Name, {opentracing::ChildOf(Parent.get())});
+  Span->SetTag("span.kind", "server");
+  return Span;
+}
+
+std::uint64_t millisecondsLeft(state::time_point Deadline,
+                               state::time_point Now) {
+  if (Deadline <= Now)
+    return 0;
+  return static_cast<std::uint64_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(Deadline - Now).count());
+}
+
+struct data_plane::impl {
+  impl(data_plane_options Options, data_plane_parts Parts,
+       data_plane_hooks Hooks)
+      : Loops(Options.Threads),
+        Core{std::move(Options), Parts, std::move(Hooks), {}, nullptr, nullptr},
+        DrainTimer(Loops.at(0)) {
+    const std::uint64_t Seed = Core.Options.Seed;
+    for (std::size_t I = 0; I < Loops.size(); ++I)
+      Core.Loops.push_back(std::make_unique<plane_loop>(
+          Loops.at(I), Core.Options.Pool, Seed + I));
+    Core.GateLoop = &Loops.at(0);
+    gate_options Gate;
+    Gate.Instance = Core.Options.Instance;
+    Gate.MaxKeys = Core.Options.MaxKeys;
+    Gate.MaxKeyBytes = Core.Options.MaxKeyBytes;
+    Gate.Limits = Core.Hooks.Limits;
+    Gate.OnCrash = Core.Hooks.OnCrash;
+    Gate.OnAnnouncement = Core.Hooks.OnAnnouncement;
+    Gate.Metrics = Core.Options.Metrics;
+    Core.Gate =
+        std::make_unique<upstream_gate>(*Core.GateLoop, std::move(Gate));
+  }
+
+  ~impl() {
+    Loops.stop();
+    if (Listener)
+      Listener->close(); // cancels what the requests wait for
+    DrainTimer.cancel();
+    Core.Gate->stop();
+    Loops.settle();
+    Core.Loops.clear();
+    Loops.settle();
+  }
+
+  void handle(std::shared_ptr<server_exchange> Caller) {
+    const http_request &Request = Caller->request();
+    if (Request.find(protocol::call_headers::TargetService) != Request.end())
+      startTargetCall(Core, std::move(Caller));
+    else
+      startEntryCall(Core, std::move(Caller));
+  }
+
+  void checkDrained() {
+    if (Core.Gate->drained() && Listener->active() == 0) {
+      Listener->stopAccepting();
+      if (const auto Call = std::exchange(OnDrained, nullptr))
+        Call();
+      return;
+    }
+    DrainTimer.expires_after(DrainCheck);
+    DrainTimer.async_wait([this](const boost::system::error_code &Error) {
+      if (!Error)
+        checkDrained();
+    });
+  }
+
+  loop_group Loops; // destroyed last: handlers in it refer to the rest
+  plane_core Core;
+  asio::steady_timer DrainTimer;
+  std::function<void()> OnDrained;
+  std::unique_ptr<http_listener> Listener;
+};
+
+data_plane::data_plane(std::unique_ptr<impl> Impl) : Impl(std::move(Impl)) {}
+
+data_plane::~data_plane() = default;
+
+state::result<std::unique_ptr<data_plane>>
+data_plane::open(data_plane_options Options, data_plane_parts Parts,
+                 data_plane_hooks Hooks) {
+  auto Impl =
+      std::make_unique<impl>(std::move(Options), Parts, std::move(Hooks));
+  auto Listener = http_listener::open(
+      Impl->Loops.contexts(), Impl->Core.Options.Address,
+      Impl->Core.Options.Listener,
+      [Impl = Impl.get()](std::shared_ptr<server_exchange> Caller) {
+        Impl->handle(std::move(Caller));
+      });
+  if (Listener.has_error())
+    return Listener.error();
+  Impl->Listener = std::move(Listener.value());
+  Impl->Core.Gate->start();
+  Impl->Loops.start();
+  return std::unique_ptr<data_plane>(new data_plane(std::move(Impl)));
+}
+
+std::string data_plane::address() const { return Impl->Listener->address(); }
+
+void data_plane::announce(state::upstream_announcement Announcement) {
+  asio::post(*Impl->Core.GateLoop,
+             [this, Announcement = std::move(Announcement)] {
+               Impl->Core.Gate->announce(Announcement);
+             });
+}
+
+void data_plane::drain(std::function<void()> OnDrained) {
+  Impl->Core.Draining = true;
+  asio::post(*Impl->Core.GateLoop,
+             [this, OnDrained = std::move(OnDrained)]() mutable {
+               Impl->OnDrained = std::move(OnDrained);
+               Impl->Core.Gate->startDrain();
+               Impl->checkDrained();
+             });
+}
+
+} // namespace hyssopledge::transport
--- /dev/null
+++ b/hyssopledge/transport/data_plane_core.h
@@ -0,0 +1,57 @@
+/// \file
+/// What entry calls and target calls share. Internal to the data plane.
+#pragma once
+
+#include "hyssopledge/state/random.h"
+#include "hyssopledge/transport/data_plane.h"
+#include "hyssopledge/transport/upstream_gate.h"
+
+#include <atomic>
+#include <string_view>
+
+namespace hyssopledge::transport {
+
+/// Belongs to one loop.
+struct plane_loop {
+  plane_loop(boost::asio::io_context &Context, const client_pool_options &Pool,
+             std::uint64_t Seed)
+      : Context(Context), Pool(Context, Pool), Random(Seed) {}
+
+  boost::asio::io_context &Context;
+  http_client_pool Pool;
+  state::random_engine Random;
+};
+
+struct plane_core {
+  data_plane_options Options;
+  data_plane_parts Parts;
+  data_plane_hooks Hooks;
+  std::vector<std::unique_ptr<plane_loop>> Loops;
+  boost::asio::io_context *GateLoop = nullptr;
+  std::unique_ptr<upstream_gate> Gate; // use on GateLoop only, but for load()
+  std::atomic<bool> Draining{false};
+
+  void recordCall(call_side Side, std::string_view Outcome,
+                  std::string_view Reason, state::time_point Started) const {
+    if (Options.Metrics != nullptr)
+      Options.Metrics->recordCall(Side, Outcome, Reason,
+                                  state::boot_clock::now() - Started);
+  }
+};
+
+/// Each handles one request and keeps itself alive until the answer.
+void startEntryCall(plane_core &Core, std::shared_ptr<server_exchange> Caller);
+void startTargetCall(plane_core &Core, std::shared_ptr<server_exchange> Caller);
+
+/// Starts a server span as a child of the request's trace; null without a
+/// tracer.
+std::unique_ptr<opentracing::Span> startHopSpan(const plane_core &Core,
+                                                const char *Name,
+                                                const http_request &Request);
+
+/// Whole milliseconds left, rounded up so that a live deadline is never sent as
+/// 0.
+std::uint64_t millisecondsLeft(state::time_point Deadline,
+                               state::time_point Now);
+
+} // namespace hyssopledge::transport
--- /dev/null
+++ b/hyssopledge/transport/http_message.cpp
@@ -0,0 +1,116 @@
+#include "hyssopledge/transport/http_message.h"
+
+#include "hyssopledge/protocol/call_headers.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace hyssopledge::transport {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+boost::beast::string_view toBeast(std::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+} // namespace
+
+void removeConnectionFields(http::fields &Fields) {
+  std::vector<std::string> Named;
+  for (const auto &Name : http::token_list{Fields[http::field::connection]})
+    Named.emplace_back(Name);
+  for (const std::string &Name : Named)
+    Fields.erase(Name);
+  for (const http::field Field :
+       {http::field::connection, http::field::keep_alive, http::field::te,
+        http::field::trailer, http::field::transfer_encoding,
+        http::field::upgrade, http::field::proxy_connection,
+        http::field::proxy_authenticate, http::field::proxy_authorization,
+        http::field::expect})
+    Fields.erase(Field);
+}
+
+std::string_view fieldValue(const http::fields &Fields, std::string_view Name) {
+  const auto Found = Fields.find(toBeast(Name));
+  if (Found == Fields.end())
+    return {};
+  return {Found->value().data(), Found->value().size()};
+}
+
+std::optional<std::uint64_t> fieldNumber(const http::fields &Fields,
+                                         std::string_view Name) {
+  const std::string_view Text = fieldValue(Fields, Name);
+  // 18 digits leave room for sums in signed 64 bits.
+  if (Text.empty() || Text.size() > 18)
+    return std::nullopt;
+  std::uint64_t Value = 0;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Error != std::errc() || End != Text.data() + Text.size())
+    return std::nullopt;
+  return Value;
+}
+
+http_response plainAnswer(unsigned Status, std::string_view ContentType,
+                          std::string Body) {
+  http_response Response;
+  Response.version(11);
+  Response.result(Status);
+  Response.set(http::field::content_type, toBeast(ContentType));
+  Response.body() = std::move(Body);
+  Response.prepare_payload();
+  return Response;
+}
+
+http_response daemonAnswer(unsigned Status, std::string_view Outcome,
+                           std::string_view Reason, std::string_view Detail) {
+  using json = nlohmann::json;
+  const json Body = {
+      {"error", Detail}, {"reason", Reason}, {"outcome", Outcome}};
+  http_response Response = plainAnswer(
+      Status, "application/json",
+      Body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n");
+  Response.set(protocol::call_headers::Outcome, toBeast(Outcome));
+  Response.set(protocol::call_headers::Reason, toBeast(Reason));
+  return Response;
+}
+
+state::result<boost::asio::ip::tcp::endpoint>
+parseEndpoint(std::string_view Address) {
+  const auto Refuse = [&] {
+    return state::failure(state::errc::InvalidSettings,
+                          "address \"" + std::string(Address) +
+                              "\" must be \"ip:port\"");
+  };
+  const std::size_t Colon = Address.rfind(':');
+  if (Colon == std::string_view::npos)
+    return Refuse();
+  std::string_view Host = Address.substr(0, Colon);
+  const std::string_view Port = Address.substr(Colon + 1);
+  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']')
+    Host = Host.substr(1, Host.size() - 2);
+  std::uint16_t Number = 0;
+  const auto [End, Error] =
+      std::from_chars(Port.data(), Port.data() + Port.size(), Number);
+  if (Error != std::errc() || End != Port.data() + Port.size())
+    return Refuse();
+  boost::system::error_code Invalid;
+  const auto Ip = boost::asio::ip::make_address(std::string(Host), Invalid);
+  if (Invalid)
+    return Refuse();
+  return boost::asio::ip::tcp::endpoint(Ip, Number);
+}
+
+std::string formatEndpoint(const boost::asio::ip::tcp::endpoint &Endpoint) {
+  const std::string Host = Endpoint.address().to_string();
+  const std::string Port = std::to_string(Endpoint.port());
+  return Endpoint.address().is_v6() ? "[" + Host + "]:" + Port
+                                    : Host + ":" + Port;
+}
+
+} // namespace hyssopledge::transport
--- /dev/null
+++ b/tests/support/http_fixture.h
@@ -0,0 +1,397 @@
+/// \file
+/// A scripted HTTP upstream, a blocking caller and a daemon's data plane, all
+/// on loopback.
+#pragma once
+
+#include "hyssopledge/transport/data_plane.h"
+
+#include <atomic>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace hyssopledge::tests {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using transport::http_request;
+using transport::http_response;
+
+// Long enough for a loaded machine; only a failing test waits for it.
+constexpr std::chrono::seconds Patience{20};
+
+/// Values handed from one thread to a waiting test.
+template <class T> class inbox {
+public:
+  void put(T Value) {
+    const std::lock_guard<std::mutex> Guard(Lock);
+    Values.push_back(std::move(Value));
+    Changed.notify_all();
+  }
+  /// The next value; none when nothing comes.
+  std::optional<T> take(std::chrono::milliseconds Time = Patience) {
+    std::unique_lock<std::mutex> Guard(Lock);
+    if (!Changed.wait_for(Guard, Time, [&] { return !Values.empty(); }))
+      return std::nullopt;
+    T Value = std::move(Values.front());
+    Values.pop_front();
+    return Value;
+  }
+
+private:
+  std::mutex Lock;
+  std::condition_variable Changed;
+  std::deque<T> Values;
+};
+
+/// Opens once; waiting after that returns at once.
+class gate {
+public:
+  void open() {
+    const std::lock_guard<std::mutex> Guard(Lock);
+    Open = true;
+    Changed.notify_all();
+  }
+  bool wait() {
+    std::unique_lock<std::mutex> Guard(Lock);
+    return Changed.wait_for(Guard, Patience, [&] { return Open; });
+  }
+
+private:
+  std::mutex Lock;
+  std::condition_variable Changed;
+  bool Open = false;
+};
+
+//-----------------------------------------------------------------------------
+// Upstream
+//-----------------------------------------------------------------------------
+
+/// One connection as a script sees it. Blocking.
+class upstream_connection {
+public:
+  upstream_connection(tcp::socket Socket, unsigned Number)
+      : Number(Number), Socket(std::move(Socket)) {}
+
+  /// The next request; none when the peer has closed.
+  std::optional<http_request> read() {
+    http_request Request;
+    boost::system::error_code Error;
+    http::request_parser<http::string_body> Parser;
+    Parser.body_limit(64 * 1024 * 1024);
+    http::read(Socket, Buffer, Parser, Error);
+    if (Error)
+      return std::nullopt;
+    return Parser.release();
+  }
+  void send(const std::string &Bytes) {
+    boost::system::error_code Ignored;
+    asio::write(Socket, asio::buffer(Bytes), Ignored);
+  }
+  /// A whole answer.
+  void answer(const std::string &Body, unsigned Status = 200,
+              const std::string &Fields = "") {
+    send("HTTP/1.1 " + std::to_string(Status) + " X\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n" + Fields + "\r\n" + Body);
+  }
+  /// True when the peer closes the connection without sending more.
+  bool awaitClose() {
+    char Byte = 0;
+    boost::system::error_code Error;
+    return Socket.read_some(asio::buffer(&Byte, 1), Error) == 0 && Error;
+  }
+  void close() {
+    boost::system::error_code Ignored;
+    Socket.shutdown(tcp::socket::shutdown_both, Ignored);
+    Socket.close(Ignored);
+  }
+
+  const unsigned Number; // 0 for the first connection of the upstream
+
+private:
+  friend class scripted_upstream;
+  tcp::socket Socket;
+  beast::flat_buffer Buffer;
+};
+
+/// Runs the script in a thread for each connection; the connection is closed
+/// when the script returns.
+class scripted_upstream {
+public:
+  using script = std::function<void(upstream_connection &)>;
+
+  explicit scripted_upstream(script Script)
+      : Script(std::move(Script)),
+        Acceptor(Context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        Address("127.0.0.1:" +
+                std::to_string(Acceptor.local_endpoint().port())),
+        Thread([this] { accept(); }) {}
+  ~scripted_upstream() {
+    stopListening();
+    closeConnections();
+    for (std::thread &Worker : Workers)
+      Worker.join();
+  }
+
+  const std::string &address() const { return Address; }
+
+  /// New connections are refused from now on.
+  void stopListening() {
+    if (!Thread.joinable())
+      return;
+    ::shutdown(Acceptor.native_handle(), SHUT_RDWR);
+    Thread.join();
+    boost::system::error_code Ignored;
+    Acceptor.close(Ignored);
+  }
+  void closeConnections() {
+    const std::lock_guard<std::mutex> Guard(Lock);
+    for (const auto &Connection : Connections)
+      ::shutdown(Connection->Socket.native_handle(), SHUT_RDWR);
+  }
+  unsigned connections() const { return Count; }
+
+private:
+  void accept() {
+    while (true) {
+      boost::system::error_code Error;
+      tcp::socket Socket(Context);
+      Acceptor.accept(Socket, Error);
+      if (Error)
+        return;
+      auto Connection =
+          std::make_shared<upstream_connection>(std::move(Socket), Count++);
+      const std::lock_guard<std::mutex> Guard(Lock);
+      Connections.push_back(Connection);
+      Workers.emplace_back([this, Connection] {
+        Script(*Connection);
+        ::shutdown(Connection->Socket.native_handle(), SHUT_RDWR);
+      });
+    }
+  }
+
+  script Script;
+  asio::io_context Context;
+  tcp::acceptor Acceptor;
+  std::string Address;
+  std::atomic<unsigned> Count{0};
+  std::mutex Lock;
+  std::vector<std::shared_ptr<upstream_connection>> Connections;
+  std::vector<std::thread> Workers;
+  std::thread Thread;
+};
+
+//-----------------------------------------------------------------------------
+// Caller
+//-----------------------------------------------------------------------------
+
+inline tcp::endpoint endpointOf(const std::string &Address) {
+  return transport::parseEndpoint(Address).value();
+}
+
+inline http_request makeRequest(http::verb Method, const std::string &Path,
+                                const std::string &Body = "") {
+  http_request Request(Method, Path, 11);
+  Request.set(http::field::host, "test");
+  Request.body() = Body;
+  Request.prepare_payload();
+  return Request;
+}
+
+class blocking_caller {
+public:
+  explicit blocking_caller(const std::string &Address) : Socket(Context) {
+    Socket.connect(endpointOf(Address));
+  }
+  void send(const http_request &Request) { http::write(Socket, Request); }
+  void sendRaw(const std::string &Bytes) {
+    boost::system::error_code Ignored;
+    asio::write(Socket, asio::buffer(Bytes), Ignored);
+  }
+  /// The next answer; status 0 when the connection ends before a whole one.
+  http_response receive() {
+    http::response_parser<http::string_body> Parser;
+    Parser.body_limit(64 * 1024 * 1024);
+    boost::system::error_code Error;
+    http::read(Socket, Buffer, Parser, Error);
+    if (!Error)
+      return Parser.release();
+    http_response None;
+    None.result(0);
+    return None;
+  }
+  /// An answer to HEAD.
+  http_response receiveHead() {
+    http::response_parser<http::string_body> Parser;
+    Parser.skip(true);
+    http::read(Socket, Buffer, Parser);
+    return Parser.release();
+  }
+  http_response call(const http_request &Request) {
+    send(Request);
+    return receive();
+  }
+  void close() { Socket.close(); }
+
+private:
+  asio::io_context Context;
+  tcp::socket Socket;
+  beast::flat_buffer Buffer;
+};
+
+inline http_response callOnce(const std::string &Address,
+                              const http_request &Request) {
+  return blocking_caller(Address).call(Request);
+}
+
+//-----------------------------------------------------------------------------
+// Daemon
+//-----------------------------------------------------------------------------
+
+/// A data plane with all that it reads. Its options and hooks may be changed
+/// before start().
+class test_daemon {
+public:
+  explicit test_daemon(const std::string &Instance)
+      : Picker(state::makeTwoChoicePicker(Stats)) {
+    Options.Instance = Instance;
+    Options.Address = "127.0.0.1:0";
+    Hooks.OnAnnouncement = [this](const auto &Announcement) {
+      if (Announcement)
+        Announced.open();
+    };
+    Hooks.OnAttempt = [this](const state::attempt_report &Report) {
+      Attempts.put(Report);
+    };
+    Hooks.OnCrash = [this](std::vector<state::crash_sighting> Sightings) {
+      Crashes.put(std::move(Sightings));
+    };
+  }
+  ~test_daemon() { stop(); }
+
+  void start() {
+    Plane = std::move(transport::data_plane::open(
+                          Options, {View, Stats, *Picker, Budget}, Hooks)
+                          .value());
+  }
+  void stop() {
+    KeepAnnouncing = false;
+    if (Announcer.joinable())
+      Announcer.join();
+    Plane.reset();
+  }
+  std::string address() const { return Plane->address(); }
+
+  /// Announces an upstream of service "reservations" until the end.
+  void announce(const std::string &Address, std::uint32_t Slots = 12) {
+    Announcement = {"reservations", "v1", Address, Slots, false};
+    Plane->announce(Announcement);
+    REQUIRE(Announced.wait());
+    Announcer = std::thread([this] {
+      while (KeepAnnouncing) {
+        Plane->announce(Announcement);
+        std::this_thread::sleep_for(std::chrono::milliseconds(200));
+      }
+    });
+  }
+
+  void publish(state::routing_view Next) {
+    Stats.update(*Next.Targets);
+    View.publish(std::make_shared<const state::routing_view>(std::move(Next)));
+  }
+
+  state::routing_view_cell View;
+  state::target_stats_registry Stats;
+  std::unique_ptr<state::picker> Picker;
+  state::retry_budget Budget{1.0, 1000};
+  transport::data_plane_options Options;
+  transport::data_plane_hooks Hooks;
+  inbox<state::attempt_report> Attempts;
+  inbox<std::vector<state::crash_sighting>> Crashes;
+  std::unique_ptr<transport::data_plane> Plane;
+
+private:
+  state::upstream_announcement Announcement;
+  gate Announced;
+  std::atomic<bool> KeepAnnouncing{true};
+  std::thread Announcer;
+};
+
+/// Routes /book (not idempotent) and /look (idempotent) of service
+/// "reservations", version v1.
+inline state::document testDocument(state::milliseconds Timeout) {
+  state::document Document;
+  Document.Environment = "test";
+  state::service_spec Service;
+  Service.Name = "reservations";
+  Service.Versions = {"v1"};
+  Service.StableVersion = "v1";
+  Document.Services = {Service};
+  state::route_spec Book;
+  Book.Name = "book";
+  Book.PathPrefix = "/book";
+  Book.Service = "reservations";
+  Book.Timeout = Timeout;
+  state::route_spec Look = Book;
+  Look.Name = "look";
+  Look.PathPrefix = "/look";
+  Look.Idempotent = true;
+  Document.Routes = {Book, Look};
+  return Document;
+}
+
+inline state::routing_view
+testView(const std::vector<std::string> &DataAddresses,
+         state::milliseconds Timeout = std::chrono::seconds(10)) {
+  state::routing_view View;
+  View.Snapshot = state::buildSnapshot(1, "", testDocument(Timeout)).value();
+  state::target_table Table;
+  for (const std::string &Address : DataAddresses) {
+    state::target_record Target;
+    Target.Instance = "target-" + std::to_string(Table.Targets.size());
+    Target.DataCentre = "dc1";
+    Target.Address = Address;
+    Target.Service = "reservations";
+    Target.Version = "v1";
+    Target.Slots = 12;
+    Table.Targets.push_back(Target);
+  }
+  View.Targets = std::make_shared<const state::target_table>(Table);
+  return View;
+}
+
+/// An entry daemon and one target daemon beside the upstream.
+struct one_hop {
+  explicit one_hop(scripted_upstream::script Script,
+                   state::milliseconds Timeout = std::chrono::seconds(10))
+      : Upstream(std::move(Script)) {
+    Target.start();
+    Target.publish(testView({}, Timeout));
+    Target.announce(Upstream.address());
+    Entry.start();
+    Entry.publish(testView({Target.address()}, Timeout));
+  }
+  http_response call(const http_request &Request) {
+    return callOnce(Entry.address(), Request);
+  }
+
+  scripted_upstream Upstream;
+  test_daemon Target{"target-0"};
+  test_daemon Entry{"entry-0"};
+};
+
+} // namespace hyssopledge::tests
