Test commits that take effect after their time-out

The compare on the record's own revision survived a mutation test: no schedule had a write that arrives late. The fake platform can now delay commits; the test fails without the compare.

--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -155,7 +155,7 @@
     World.accept(rolloutSnapshot(5, "v1", "v2", std::chrono::seconds(60)));
     std::uint64_t Version = 5;
     for (std::uint8_t Draw : Draws) {
-      switch (Draw % 10) {
+      switch (Draw % 12) {
       case 0:
         World.Platform.LoseAnswers += 1;
         break;
@@ -180,6 +180,12 @@
         if (World.Platform.pending() > 1)
           World.Platform.runOne(World.Platform.pending() - 1);
         break;
+      case 6:
+        World.Platform.DelayCommits += 1;
+        break;
+      case 7:
+        World.Platform.applyDelayed();
+        break;
       default:
         World.second(Draw % 2 == 0);
         World.second(Draw % 3 != 0);
@@ -190,6 +196,8 @@
     // Whatever happened, it comes to an end once all is well again.
     World.Platform.Down = false;
     World.Platform.LoseAnswers = World.Platform.DropBefore = 0;
+    World.Platform.DelayCommits = 0;
+    World.Platform.applyDelayed();
     for (auto &Node : World.Nodes)
       Node->Paused = false;
     World.accept(rolloutSnapshot(++Version, "v1", "v2"));
@@ -200,6 +208,27 @@
   }));
 }
 
+TEST_CASE("a write that takes effect after its time-out does not undo a later "
+          "one") {
+  rollout_world World(7, 1);
+  World.accept(rolloutSnapshot(5, "v1", "v2"));
+  World.seconds(20);
+  const auto Before = World.recorded();
+  World.Platform.DelayCommits = 3;
+  while (World.Platform.DelayCommits > 0 && World.Seconds < 200)
+    World.second();
+  World.Model = [](bool New, double) {
+    return tests::call_model{New ? 0.9 : 0.005};
+  };
+  World.seconds(40);
+  REQUIRE(phase(World) == rollout_phase::RolledBack);
+  World.Platform.applyDelayed();
+  World.seconds(5);
+  CHECK(phase(World) == rollout_phase::RolledBack);
+  CHECK(World.recorded()->step() > Before->step());
+  CHECK(World.Violations.empty());
+}
+
 TEST_CASE("the document decides on the record") {
   struct plan_case {
     const char *Name;
--- a/tests/support/fake_platform.h
+++ b/tests/support/fake_platform.h
@@ -26,7 +26,9 @@
   bool Down = false; // each call fails with Unavailable and has no effect
   unsigned LoseAnswers = 0; // the next commits take effect and answer Timeout
   unsigned DropBefore = 0; // the next commits have no effect and answer Timeout
-  std::uint64_t Calls = 0; // each call, a waiting watch as one
+  unsigned DelayCommits = 0; // the next commits answer Timeout and take effect
+                             // at applyDelayed()
+  std::uint64_t Calls = 0;   // each call, a waiting watch as one
   std::uint64_t Writes = 0;
 
   /// Delivers waiting answers and events until none is left.
@@ -41,6 +43,15 @@
     Next();
   }
   std::size_t pending() const { return Pending.size(); }
+  /// Commits that were under way for long arrive now.
+  void applyDelayed() {
+    expireLeases();
+    for (const coordination::platform_txn &Txn : std::exchange(Delayed, {}))
+      if (std::all_of(Txn.Puts.begin(), Txn.Puts.end(), [this](auto &Put) {
+            return Put.Lease == 0 || Leases.contains(Put.Lease);
+          }))
+        apply(Txn);
+  }
 
   /// Ends leases that have run out and deletes their keys.
   void expireLeases() {
@@ -89,6 +100,11 @@
       --DropBefore;
       return answer(Handler, state::failure(state::errc::Timeout, "no answer"));
     }
+    if (DelayCommits > 0) {
+      --DelayCommits;
+      Delayed.push_back(std::move(Txn));
+      return answer(Handler, state::failure(state::errc::Timeout, "no answer"));
+    }
     expireLeases();
     coordination::platform_txn_result Result = apply(Txn);
     if (LoseAnswers > 0) {
@@ -262,6 +278,7 @@
   std::vector<std::shared_ptr<watcher>> Watchers;
   std::vector<coordination::platform_event> History;
   std::deque<std::function<void()>> Pending;
+  std::vector<coordination::platform_txn> Delayed;
   std::int64_t Revision = 1;
   std::int64_t LastLease = 0;
 };
