--- /dev/null
+++ b/tools/platform_standin/platform_service.cpp
@@ -0,0 +1,451 @@
+#include "platform_standin/platform_service.h"
+
+#include "hyssopledge/protocol/generated/etcd.grpc.pb.h"
+#include "platform_standin/watch_stream.h"
+
+#include <algorithm>
+#include <atomic>
+#include <grpcpp/grpcpp.h>
+#include <utility>
+
+namespace hyssopledge::platform_standin {
+
+namespace {
+
+using namespace std::chrono_literals;
+using state::errc;
+
+constexpr auto ExpiryInterval = 100ms;
+// Above the largest value, so that the store answers for it and not gRPC.
+constexpr int MaxRequestBytes = 8 * 1024 * 1024;
+// etcd's default; clients that ping more often are cut off.
+constexpr int MinPingIntervalMs = 5'000;
+
+grpc::Status toStatus(const state::failure &Failure) {
+  grpc::StatusCode Code = grpc::StatusCode::INVALID_ARGUMENT;
+  if (Failure.is(errc::NotFound))
+    Code = grpc::StatusCode::NOT_FOUND;
+  else if (Failure.is(errc::StaleVersion))
+    Code = grpc::StatusCode::OUT_OF_RANGE;
+  else if (Failure.is(errc::Conflict))
+    Code = grpc::StatusCode::FAILED_PRECONDITION;
+  return {Code, Failure.Detail};
+}
+
+std::int64_t secondNow() {
+  return std::chrono::duration_cast<std::chrono::seconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+/// Answers a unary call, now or later, or leaves it without an answer until the
+/// client gives up.
+class unary_reactor final : public grpc::ServerUnaryReactor {
+public:
+  void answer(const grpc::Status &Status) {
+    if (!Finished.exchange(true))
+      Finish(Status);
+  }
+  void hold() {
+    Held = true;
+    if (Cancelled)
+      answer(grpc::Status::CANCELLED);
+  }
+  void OnCancel() override {
+    Cancelled = true;
+    if (Held)
+      answer(grpc::Status::CANCELLED);
+  }
+  void OnDone() override { delete this; }
+
+private:
+  std::atomic<bool> Held{false};
+  std::atomic<bool> Cancelled{false};
+  std::atomic<bool> Finished{false};
+};
+
+/// One stream of lease renewals.
+class keep_alive_stream final
+    : public grpc::ServerBidiReactor<etcdserverpb::LeaseKeepAliveRequest,
+                                     etcdserverpb::LeaseKeepAliveResponse> {
+public:
+  explicit keep_alive_stream(platform_service &Service) : Service(Service) {
+    StartRead(&Request);
+  }
+
+  void OnReadDone(bool Ok) override {
+    if (!Ok)
+      return end(grpc::Status::OK);
+    if (const grpc::Status Status = Service.admit(call_kind::Lease);
+        !Status.ok())
+      return end(Status);
+    Service.later().after(Service.latency(), [this] { answerOne(); });
+  }
+  void OnWriteDone(bool Ok) override {
+    if (Ok)
+      StartRead(&Request);
+    else
+      end(grpc::Status::CANCELLED);
+  }
+  void OnDone() override { delete this; }
+
+private:
+  void end(const grpc::Status &Status) {
+    if (!std::exchange(Finished, true))
+      Finish(Status);
+  }
+  void answerOne() {
+    const auto Renewed = Service.withStore([this](mvcc_store &Store) {
+      return Store.keepAlive(Request.id(), state::boot_clock::now());
+    });
+    Response.set_id(Request.id());
+    Response.set_ttl(Renewed.has_value() ? Renewed.value().count() : 0);
+    StartWrite(&Response);
+  }
+
+  platform_service &Service;
+  etcdserverpb::LeaseKeepAliveRequest Request;
+  etcdserverpb::LeaseKeepAliveResponse Response;
+  bool Finished = false;
+};
+
+/// Runs the effect between the two halves of the latency.
+template <class Effect>
+grpc::ServerUnaryReactor *runUnary(platform_service &Service, call_kind Kind,
+                                   Effect Function) {
+  auto *Reactor = new unary_reactor;
+  if (const grpc::Status Status = Service.admit(Kind); !Status.ok()) {
+    Reactor->answer(Status);
+    return Reactor;
+  }
+  const auto Half = Service.latency() / 2;
+  const auto Act = [&Service, Kind, Half, Reactor, Function] {
+    const grpc::Status Status = Service.withStore(Function);
+    const auto Fault = Kind == call_kind::Write && Status.ok()
+                           ? Service.drawAnswerFault()
+                           : platform_service::answer_fault::None;
+    if (Fault == platform_service::answer_fault::Lose)
+      return Reactor->hold();
+    const grpc::Status Answer =
+        Fault == platform_service::answer_fault::Fail
+            ? grpc::Status(grpc::StatusCode::UNAVAILABLE,
+                           "etcdserver: request timed out")
+            : Status;
+    if (Half.count() == 0)
+      return Reactor->answer(Answer);
+    Service.later().after(Half, [Reactor, Answer] { Reactor->answer(Answer); });
+  };
+  if (Half.count() == 0)
+    Act();
+  else
+    Service.later().after(Half, Act);
+  return Reactor;
+}
+
+template <class Result, class Response>
+grpc::Status store(Result Outcome, Response *Target) {
+  if (Outcome.has_error())
+    return toStatus(Outcome.error());
+  *Target = std::move(Outcome.value());
+  return grpc::Status::OK;
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// gRPC services
+//-----------------------------------------------------------------------------
+
+class platform_service::services {
+public:
+  explicit services(platform_service &Service)
+      : Kv(Service), Lease(Service), Watch(Service) {}
+
+  struct kv final : etcdserverpb::KV::CallbackService {
+    explicit kv(platform_service &Service) : Service(Service) {}
+    grpc::ServerUnaryReactor *
+    Range(grpc::CallbackServerContext * /*Context*/,
+          const etcdserverpb::RangeRequest *Request,
+          etcdserverpb::RangeResponse *Response) override {
+      return runUnary(Service, call_kind::Read,
+                      [Request, Response](mvcc_store &Store) {
+                        return store(Store.range(*Request), Response);
+                      });
+    }
+    grpc::ServerUnaryReactor *
+    Txn(grpc::CallbackServerContext * /*Context*/,
+        const etcdserverpb::TxnRequest *Request,
+        etcdserverpb::TxnResponse *Response) override {
+      return runUnary(Service, call_kind::Write,
+                      [Request, Response](mvcc_store &Store) {
+                        return store(Store.txn(*Request), Response);
+                      });
+    }
+    platform_service &Service;
+  };
+
+  struct lease final : etcdserverpb::Lease::CallbackService {
+    explicit lease(platform_service &Service) : Service(Service) {}
+    grpc::ServerUnaryReactor *
+    LeaseGrant(grpc::CallbackServerContext * /*Context*/,
+               const etcdserverpb::LeaseGrantRequest *Request,
+               etcdserverpb::LeaseGrantResponse *Response) override {
+      return runUnary(
+          Service, call_kind::Write, [Request, Response](mvcc_store &Store) {
+            auto Granted = Store.grant(std::chrono::seconds(Request->ttl()),
+                                       Request->id(), state::boot_clock::now());
+            if (Granted.has_error())
+              return toStatus(Granted.error());
+            Response->set_id(Granted.value());
+            Response->set_ttl(Request->ttl());
+            return grpc::Status::OK;
+          });
+    }
+    grpc::ServerUnaryReactor *
+    LeaseRevoke(grpc::CallbackServerContext * /*Context*/,
+                const etcdserverpb::LeaseRevokeRequest *Request,
+                etcdserverpb::LeaseRevokeResponse * /*Response*/) override {
+      return runUnary(Service, call_kind::Write, [Request](mvcc_store &Store) {
+        auto Revoked = Store.revoke(Request->id());
+        return Revoked.has_error() ? toStatus(Revoked.error())
+                                   : grpc::Status::OK;
+      });
+    }
+    grpc::ServerBidiReactor<etcdserverpb::LeaseKeepAliveRequest,
+                            etcdserverpb::LeaseKeepAliveResponse> *
+    LeaseKeepAlive(grpc::CallbackServerContext * /*Context*/) override {
+      return new keep_alive_stream(Service);
+    }
+    platform_service &Service;
+  };
+
+  struct watch final : etcdserverpb::Watch::CallbackService {
+    explicit watch(platform_service &Service) : Service(Service) {}
+    grpc::ServerBidiReactor<etcdserverpb::WatchRequest,
+                            etcdserverpb::WatchResponse> *
+    Watch(grpc::CallbackServerContext * /*Context*/) override {
+      auto Stream = std::make_shared<watch_stream>(Service);
+      Stream->start();
+      return Stream.get();
+    }
+    platform_service &Service;
+  };
+
+  kv Kv;
+  lease Lease;
+  watch Watch;
+};
+
+//-----------------------------------------------------------------------------
+// Start and stop
+//-----------------------------------------------------------------------------
+
+platform_service::platform_service(std::string Address, rate_limits Rates)
+    : Address(std::move(Address)), Rates(Rates),
+      Services(std::make_unique<services>(*this)) {
+  tick();
+}
+
+platform_service::~platform_service() { stopServer(); }
+
+bool platform_service::start() {
+  const std::lock_guard ServerLock(ServerMutex);
+  if (Server)
+    return true;
+  grpc::ServerBuilder Builder;
+  const std::string Host = Address.substr(0, Address.rfind(':') + 1);
+  int Selected = 0;
+  Builder.AddListeningPort(Port != 0 ? Host + std::to_string(Port) : Address,
+                           grpc::InsecureServerCredentials(), &Selected);
+  // Two stand-ins on one port would share the connections silently.
+  Builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+  Builder.AddChannelArgument(
+      GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, MinPingIntervalMs);
+  Builder.SetMaxReceiveMessageSize(MaxRequestBytes);
+  Builder.RegisterService(&Services->Kv);
+  Builder.RegisterService(&Services->Lease);
+  Builder.RegisterService(&Services->Watch);
+  Server = Builder.BuildAndStart();
+  if (Server)
+    Port = Selected;
+  return Server != nullptr;
+}
+
+void platform_service::stopServer() {
+  const std::lock_guard ServerLock(ServerMutex);
+  if (!Server)
+    return;
+  Later.setHurry(true);
+  Server->Shutdown(std::chrono::system_clock::now());
+  Server.reset();
+  Later.setHurry(false);
+}
+
+void platform_service::tick() {
+  Later.after(ExpiryInterval, [this] {
+    withStore([](const mvcc_store & /*Store*/) { return true; });
+    tick();
+  });
+}
+
+//-----------------------------------------------------------------------------
+// Faults and counts
+//-----------------------------------------------------------------------------
+
+std::string platform_service::setFaults(const nlohmann::json &Json) {
+  if (!Json.is_object())
+    return "the body must be a JSON object";
+  faults Wanted;
+  {
+    const std::lock_guard Lock(Mutex);
+    Wanted = Faults;
+  }
+  for (const auto &Item : Json.items()) {
+    const nlohmann::json &Value = Item.value();
+    const bool Number = Value.is_number_unsigned() && Value <= 3'600'000;
+    if (Item.key() == "down" && Value.is_boolean())
+      Wanted.Down = Value;
+    else if (Item.key() == "cross_watch" && Value.is_boolean())
+      Wanted.CrossWatch = Value;
+    else if (Item.key() == "latency_ms" && Number)
+      Wanted.Latency = std::chrono::milliseconds(Value.get<unsigned>());
+    else if (Item.key() == "watch_delay_ms" && Number)
+      Wanted.WatchDelay = std::chrono::milliseconds(Value.get<unsigned>());
+    else if (Item.key() == "lose_answers" && Number)
+      Wanted.LoseAnswers = Value;
+    else if (Item.key() == "fail_after" && Number)
+      Wanted.FailAfter = Value;
+    else if (Item.key() == "fail_before" && Number)
+      Wanted.FailBefore = Value;
+    else
+      return "unknown key or wrong value: " + Item.key();
+  }
+  {
+    const std::lock_guard Lock(Mutex);
+    Faults = Wanted;
+  }
+  if (Wanted.Down)
+    stopServer();
+  else if (!start())
+    return "the address can't be used again yet";
+  return "";
+}
+
+nlohmann::json platform_service::stats() {
+  const std::lock_guard Lock(Mutex);
+  roll(secondNow());
+  std::size_t Watches = 0;
+  for (const auto &Stream : Streams)
+    Watches += Stream->watches();
+  return {{"calls", Totals[0]},
+          {"reads", Totals[1]},
+          {"writes", Totals[2]},
+          {"calls_per_s", Last.Counts[0]},
+          {"reads_per_s", Last.Counts[1]},
+          {"writes_per_s", Last.Counts[2]},
+          {"peak_calls_per_s", Peaks[0]},
+          {"peak_reads_per_s", Peaks[1]},
+          {"peak_writes_per_s", Peaks[2]},
+          {"watches", Watches},
+          {"leases", Store.leases()},
+          {"keys", Store.keys()},
+          {"revision", Store.revision()},
+          {"down", Faults.Down}};
+}
+
+bool platform_service::bucket::take(double Rate) {
+  if (Rate <= 0)
+    return true;
+  const auto Now = std::chrono::steady_clock::now();
+  Tokens = std::min(
+      Rate,
+      Tokens + Rate * std::chrono::duration<double>(Now - Filled).count());
+  Filled = Now;
+  if (Tokens < 1)
+    return false;
+  Tokens -= 1;
+  return true;
+}
+
+void platform_service::roll(std::int64_t Now) {
+  if (Current.Number == Now)
+    return;
+  Last = Current.Number == Now - 1 ? Current : second{};
+  Current = second{};
+  Current.Number = Now;
+}
+
+void platform_service::count(call_kind Kind) {
+  roll(secondNow());
+  const auto Add = [this](std::size_t Index) {
+    ++Totals[Index];
+    Peaks[Index] = std::max(Peaks[Index], ++Current.Counts[Index]);
+  };
+  Add(0);
+  if (Kind == call_kind::Read)
+    Add(1);
+  if (Kind == call_kind::Write)
+    Add(2);
+}
+
+grpc::Status platform_service::admit(call_kind Kind) {
+  const std::lock_guard Lock(Mutex);
+  count(Kind);
+  const bool Write = Kind == call_kind::Write || Kind == call_kind::Lease;
+  if (Write ? !WriteBucket.take(Rates.WritesPerSecond)
+            : !ReadBucket.take(Rates.ReadsPerSecond))
+    return {grpc::StatusCode::RESOURCE_EXHAUSTED,
+            "etcdserver: too many requests"};
+  if (Faults.FailBefore > 0) {
+    --Faults.FailBefore;
+    return {grpc::StatusCode::UNAVAILABLE, "etcdserver: no leader"};
+  }
+  return grpc::Status::OK;
+}
+
+platform_service::answer_fault platform_service::drawAnswerFault() {
+  const std::lock_guard Lock(Mutex);
+  if (Faults.LoseAnswers > 0) {
+    --Faults.LoseAnswers;
+    return answer_fault::Lose;
+  }
+  if (Faults.FailAfter > 0) {
+    --Faults.FailAfter;
+    return answer_fault::Fail;
+  }
+  return answer_fault::None;
+}
+
+std::chrono::milliseconds platform_service::latency() {
+  const std::lock_guard Lock(Mutex);
+  return Faults.Latency;
+}
+
+//-----------------------------------------------------------------------------
+// Watches; the store is locked
+//-----------------------------------------------------------------------------
+
+std::chrono::milliseconds platform_service::watchDelay() {
+  if (!Faults.CrossWatch)
+    return Faults.WatchDelay;
+  return std::chrono::milliseconds(std::uniform_int_distribution<std::int64_t>(
+      0, Faults.WatchDelay.count())(Engine));
+}
+
+void platform_service::pump() {
+  for (const auto &Stream : Streams)
+    Stream->pump(Store, watchDelay());
+}
+
+void platform_service::addStream(const std::shared_ptr<watch_stream> &Stream) {
+  const std::lock_guard Lock(Mutex);
+  Streams.insert(Stream);
+}
+
+void platform_service::removeStream(
+    const std::shared_ptr<watch_stream> &Stream) {
+  const std::lock_guard Lock(Mutex);
+  Streams.erase(Stream);
+}
+
+} // namespace hyssopledge::platform_standin
--- /dev/null
+++ b/tools/platform_standin/platform_service.h
@@ -0,0 +1,121 @@
+/// \file
+/// The stand-in's gRPC server: the store behind the published protocol, with
+/// faults, rate limits and counts.
+#pragma once
+
+#include "platform_standin/mvcc_store.h"
+#include "platform_standin/scheduler.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <grpcpp/server.h>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <string>
+
+namespace hyssopledge::platform_standin {
+
+struct rate_limits {
+  double ReadsPerSecond = 0;  // 0: no limit
+  double WritesPerSecond = 0; // 0: no limit
+};
+
+/// Keys of POST /fault, each optional.
+struct faults {
+  bool Down = false;                       // "down": connections are refused
+  std::chrono::milliseconds Latency{0};    // "latency_ms": half before the
+                                           // effect, half after it
+  unsigned LoseAnswers = 0;                // "lose_answers": the next writes
+                                           // take effect and get no answer
+  unsigned FailAfter = 0;                  // "fail_after": the next writes
+                                           // take effect and get an error
+  unsigned FailBefore = 0;                 // "fail_before": the next calls get
+                                           // an error and have no effect
+  std::chrono::milliseconds WatchDelay{0}; // "watch_delay_ms"
+  bool CrossWatch = false;                 // "cross_watch": delays are drawn
+                                           // from 0 to watch_delay_ms
+};
+
+enum class call_kind { Read, Write, Lease, Watch };
+
+class watch_stream;
+
+class platform_service {
+public:
+  platform_service(std::string Address, rate_limits Rates);
+  ~platform_service();
+  platform_service(const platform_service &) = delete;
+  platform_service &operator=(const platform_service &) = delete;
+
+  /// Listens; the port is kept when the platform goes down and comes back.
+  /// False when the address can't be used.
+  bool start();
+  int port() const { return Port; }
+
+  /// An error text, or empty. A wrong key or value changes nothing.
+  std::string setFaults(const nlohmann::json &Json);
+  nlohmann::json stats();
+
+  //--- Used by the gRPC services ----------------------------------------------
+  /// Counts the call and draws the faults that meet it, in this order: a rate
+  /// limit, FailBefore.
+  grpc::Status admit(call_kind Kind);
+  enum class answer_fault { None, Lose, Fail };
+  answer_fault drawAnswerFault();
+  std::chrono::milliseconds latency();
+  std::chrono::milliseconds watchDelay();
+  /// Runs with the store locked, then sends watch events.
+  template <class F> auto withStore(F Function) {
+    const std::lock_guard Lock(Mutex);
+    Store.expire(state::boot_clock::now());
+    auto Result = Function(Store);
+    pump();
+    return Result;
+  }
+  void addStream(const std::shared_ptr<watch_stream> &Stream);
+  void removeStream(const std::shared_ptr<watch_stream> &Stream);
+  scheduler &later() { return Later; }
+
+private:
+  struct bucket {
+    double Tokens = 0;
+    std::chrono::steady_clock::time_point Filled;
+    bool take(double Rate);
+  };
+  struct second {
+    std::int64_t Number = -1;
+    std::array<std::uint64_t, 3> Counts{}; // calls, reads, writes
+  };
+  class services;
+
+  void stopServer();
+  void pump();
+  void tick();
+  void count(call_kind Kind);
+  void roll(std::int64_t Now);
+
+  const std::string Address;
+  const rate_limits Rates;
+  int Port = 0;
+  std::mutex Mutex;
+  mvcc_store Store;
+  faults Faults;
+  bucket ReadBucket;
+  bucket WriteBucket;
+  std::array<std::uint64_t, 3> Totals{};
+  std::array<std::uint64_t, 3> Peaks{};
+  second Current;
+  second Last;
+  std::set<std::shared_ptr<watch_stream>> Streams;
+  std::mt19937_64 Engine{1};
+  std::mutex ServerMutex; // before Mutex
+  std::unique_ptr<services> Services;
+  std::unique_ptr<grpc::Server> Server;
+  scheduler Later;
+};
+
+} // namespace hyssopledge::platform_standin
--- /dev/null
+++ b/tools/platform_standin/scheduler.h
@@ -0,0 +1,74 @@
+/// \file
+/// A thread that runs functions later.
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace hyssopledge::platform_standin {
+
+class scheduler {
+public:
+  scheduler() : Thread([this] { run(); }) {}
+  ~scheduler() {
+    {
+      const std::lock_guard Lock(Mutex);
+      Stopping = true;
+    }
+    Changed.notify_all();
+    Thread.join();
+  }
+  scheduler(const scheduler &) = delete;
+  scheduler &operator=(const scheduler &) = delete;
+
+  void after(std::chrono::milliseconds Delay, std::function<void()> Function) {
+    {
+      const std::lock_guard Lock(Mutex);
+      Queue.emplace(std::chrono::steady_clock::now() + Delay,
+                    std::move(Function));
+    }
+    Changed.notify_all();
+  }
+
+  /// While on, everything runs at once. A server that shuts down waits for its
+  /// delayed answers.
+  void setHurry(bool On) {
+    {
+      const std::lock_guard Lock(Mutex);
+      Hurry = On;
+    }
+    Changed.notify_all();
+  }
+
+private:
+  void run() {
+    std::unique_lock Lock(Mutex);
+    while (!Stopping) {
+      if (Queue.empty()) {
+        Changed.wait(Lock);
+      } else if (!Hurry &&
+                 Queue.begin()->first > std::chrono::steady_clock::now()) {
+        Changed.wait_until(Lock, Queue.begin()->first);
+      } else {
+        const auto Function = Queue.extract(Queue.begin()).mapped();
+        Lock.unlock();
+        Function();
+        Lock.lock();
+      }
+    }
+  }
+
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  std::multimap<std::chrono::steady_clock::time_point, std::function<void()>>
+      Queue;
+  bool Hurry = false;
+  bool Stopping = false;
+  std::thread Thread; // last, since it uses the rest
+};
+
+} // namespace hyssopledge::platform_standin
--- /dev/null
+++ b/tools/platform_standin/watch_stream.h
@@ -0,0 +1,57 @@
+/// \file
+/// One watch stream of a client; it may carry several watches.
+#pragma once
+
+#include "platform_standin/platform_service.h"
+
+#include <deque>
+#include <grpcpp/support/server_callback.h>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace hyssopledge::platform_standin {
+
+class watch_stream final
+    : public grpc::ServerBidiReactor<etcdserverpb::WatchRequest,
+                                     etcdserverpb::WatchResponse>,
+      public std::enable_shared_from_this<watch_stream> {
+public:
+  explicit watch_stream(platform_service &Service) : Service(Service) {}
+
+  /// The service and gRPC keep the stream until OnDone.
+  void start();
+  /// Queues what the watches have not seen. The store is locked.
+  void pump(const mvcc_store &Store, std::chrono::milliseconds Delay);
+  void finish(const grpc::Status &Status);
+  std::size_t watches();
+
+  void OnReadDone(bool Ok) override;
+  void OnWriteDone(bool Ok) override;
+  void OnCancel() override { finish(grpc::Status::CANCELLED); }
+  void OnDone() override;
+
+private:
+  struct watch {
+    std::string Key;
+    std::string RangeEnd;
+    std::int64_t Next = 0; // revision of the next event
+  };
+
+  void create(const etcdserverpb::WatchCreateRequest &Request);
+  void send(etcdserverpb::WatchResponse Response);
+  etcdserverpb::WatchResponse response(std::int64_t Revision,
+                                       std::int64_t Id) const;
+
+  platform_service &Service;
+  std::shared_ptr<watch_stream> Self; // until OnDone
+  etcdserverpb::WatchRequest Request;
+  std::map<std::int64_t, watch> Watches; // guarded by the store's lock
+  std::int64_t LastId = 0;
+  std::mutex Mutex; // after the store's lock
+  std::deque<etcdserverpb::WatchResponse> Queue;
+  bool Writing = false;
+  bool Finished = false;
+};
+
+} // namespace hyssopledge::platform_standin
