--- /dev/null
+++ b/hyssopledge/coordination/control_agent.cpp
@@ -0,0 +1,452 @@
+#include "hyssopledge/coordination/control_agent.h"
+
+#include "hyssopledge/coordination/keys.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace hyssopledge::coordination {
+
+using state::errc;
+using state::time_point;
+
+namespace {
+
+constexpr unsigned NotifiedPeers = 4;
+
+membership_options membershipOptions(const control_options &Options) {
+  membership_options Out;
+  Out.Environment = Options.Environment;
+  Out.Period = Options.ProbeInterval;
+  Out.Self.set_instance(Options.Instance);
+  Out.Self.set_data_centre(Options.DataCentre);
+  Out.Self.set_gossip_address(Options.GossipAddress);
+  Out.Self.set_control_address(Options.ControlAddress);
+  Out.Self.set_data_address(Options.DataAddress);
+  return Out;
+}
+
+distribution_options distributionOptions(const control_options &Options) {
+  distribution_options Out;
+  Out.Environment = Options.Environment;
+  return Out;
+}
+
+} // namespace
+
+control_agent::control_agent(control_options NewOptions, control_hooks NewHooks,
+                             control_io &Io, platform_store &Platform,
+                             clock NewClock, wall_clock NewWallClock)
+    : Options(std::move(NewOptions)), Hooks(std::move(NewHooks)), Io(Io),
+      Platform(Platform), Clock(std::move(NewClock)),
+      WallClock(std::move(NewWallClock)), Random(Options.Seed),
+      Store(Options.Instance),
+      Members(membershipOptions(Options), Store, Random),
+      Documents(distributionOptions(Options), Gate, Cache, Budget, Random,
+                [this](std::size_t Count) { return fetchPeers(Count); }),
+      Holder(Random), Grantor({}, Random) {
+  for (unsigned I = 0; I < RelaySeats; ++I) {
+    relay_seat &Seat = Seats[I];
+    Seat.Name = "relay/" + Options.DataCentre + "/" + std::to_string(I);
+    control::seat Value;
+    Value.set_name(Seat.Name);
+    Value.set_instance(Options.Instance);
+    Value.set_control_address(Options.ControlAddress);
+    seat_options SeatOptions;
+    SeatOptions.Key =
+        keys::relaySeat(Options.Environment, Options.DataCentre, I);
+    SeatOptions.Value = Value.SerializeAsString();
+    Seat.Seat = std::make_unique<seat>(SeatOptions, Random);
+    Seat.Runner = std::make_unique<seat_runner>(Platform, *Seat.Seat, Clock);
+  }
+}
+
+control_agent::~control_agent() = default;
+
+void control_agent::log(const std::string &Line) const {
+  if (Hooks.OnLog)
+    Hooks.OnLog(Line);
+}
+
+//-----------------------------------------------------------------------------
+// Program
+//-----------------------------------------------------------------------------
+
+void control_agent::start() {
+  const time_point Now = Clock();
+  Started = true;
+  StartedAt = Now;
+  Contacts = Options.BootstrapPeers;
+  std::erase(Contacts, Options.ControlAddress);
+  std::shuffle(Contacts.begin(), Contacts.end(), Random);
+  NextHeadRead =
+      Now + between(Random, std::chrono::milliseconds(0), Options.StartSpread);
+  NextSeatsRead = NextHeadRead;
+  // The clock may count from an arbitrary point.
+  NextSync = Now + between(Random, std::chrono::milliseconds(0),
+                           Options.ProbeInterval / 5);
+}
+
+void control_agent::leave() {
+  Leaving = true;
+  for (relay_seat &Seat : Seats) {
+    Seat.Seat->setEligible(false);
+    Seat.Runner->onTick(Clock());
+  }
+  if (Members.started())
+    sendAll(Members.leave(Clock()));
+}
+
+void control_agent::setTargets(const std::vector<control::target> &Targets) {
+  Members.setTargets(Clock(), Targets);
+  afterMerge("");
+}
+
+state::result<bool>
+control_agent::publish(const control::gossip_record &Record) {
+  auto Merged = Store.mergeRecord(Clock(), Record);
+  if (!Merged)
+    return Merged;
+  // Directives and votes stop calls to bad versions; they must not wait for
+  // the next probe.
+  if (Merged.value() && Members.started())
+    sendAll(Members.notify(Clock(), NotifiedPeers));
+  afterMerge("");
+  return Merged;
+}
+
+bool control_agent::holdsRelaySeat() const {
+  const time_point Now = Clock();
+  return std::any_of(Seats.begin(), Seats.end(), [Now](const auto &Seat) {
+    return Seat.Seat->heldAt(Now);
+  });
+}
+
+control::convergence control_agent::convergence() const {
+  return Tracker.statement(Clock(), WallClock());
+}
+
+std::string control_agent::status() const {
+  const time_point Now = Clock();
+  nlohmann::json Json = {{"instance", Options.Instance},
+                         {"environment", Options.Environment},
+                         {"incarnation", Members.self().incarnation()},
+                         {"version", appliedVersion()},
+                         {"known_version", Documents.knownVersion()},
+                         {"known_refused", Documents.refusedKnown()},
+                         {"members", Store.members().size()},
+                         {"reachable", Members.reachable(Now)},
+                         {"lease",
+                          {{"valid", Holder.validAt(Now)},
+                           {"level", Holder.level()},
+                           {"remaining_ms", Holder.remaining(Now).count()}}},
+                         {"platform", PlatformDown ? "down" : "up"}};
+  Json["floor"] =
+      Gate.floor() ? nlohmann::json(*Gate.floor()) : nlohmann::json(nullptr);
+  Json["seats"] = nlohmann::json::array();
+  for (const relay_seat &Seat : Seats)
+    if (Seat.Seat->heldAt(Now))
+      Json["seats"].push_back(Seat.Name);
+  const control::convergence Statement = convergence();
+  Json["in_force_everywhere"] = Statement.in_force_everywhere();
+  Json["waiting_for"] = std::vector<std::string>(
+      Statement.waiting_for().begin(), Statement.waiting_for().end());
+  return Json.dump();
+}
+
+//-----------------------------------------------------------------------------
+// Gossip
+//-----------------------------------------------------------------------------
+
+void control_agent::sendAll(const std::vector<outgoing_packet> &Packets) {
+  for (const outgoing_packet &Packet : Packets)
+    Io.send(Packet.Address, Packet.Packet);
+}
+
+void control_agent::onTick() {
+  if (!Started)
+    return;
+  const time_point Now = Clock();
+  sendAll(Members.onTick(Now));
+  afterMerge("");
+  if (Leaving)
+    return;
+  tickStart(Now);
+  tickPlatform(Now);
+  tickSeats(Now);
+  tickLevels(Now);
+  perform(Documents.onTick(Now));
+  tickRenewal(Now);
+  tickReports(Now);
+  Tracker.onTick(Now);
+}
+
+void control_agent::onPacket(const control::gossip_packet &Packet) {
+  if (!Started || !Members.started())
+    return;
+  const time_point Now = Clock();
+  auto Answers = Members.onPacket(Now, Packet);
+  if (!Answers) {
+    log("event=packet_refused from=" + Packet.from_instance() + " reason=\"" +
+        Answers.error().text() + "\"");
+    return;
+  }
+  afterMerge(Packet.from_instance());
+  sendAll(Answers.value());
+  // The sender knows a newer head and no longer has it in its queue; it adds
+  // the head to its answer when it sees that this daemon is behind.
+  if (Packet.known_version() > Documents.knownVersion())
+    sendAll(Members.ping(Now, Packet.from_address(), Packet.from_instance()));
+}
+
+void control_agent::afterMerge(const std::string &Teller) {
+  const std::vector<std::string> Changed = Members.takeChanged();
+  const time_point Now = Clock();
+  if (!Changed.empty()) {
+    std::vector<control::member> List;
+    for (const std::string &Instance : Changed) {
+      const control::member *Member = Store.findMember(Instance);
+      if (Member == nullptr)
+        continue;
+      Tracker.onMember(Now, *Member);
+      List.push_back(*Member);
+      if (Member->status() != control::MEMBER_DEAD &&
+          Member->status() != control::MEMBER_LEFT)
+        continue;
+      // A vacant seat need not wait until its holder's record has expired.
+      for (relay_seat &Seat : Seats) {
+        const control::gossip_record *Record =
+            Store.findRecord(control::RECORD_SEAT, Seat.Name);
+        control::seat Value;
+        if (Record != nullptr && Value.ParseFromString(Record->payload()) &&
+            Value.instance() == Instance)
+          Seat.Seat->onHolderGone(Now);
+      }
+    }
+    Gate.onKnownPeers(Store.liveCount() - (Members.started() ? 1 : 0));
+    if (Hooks.OnMembers)
+      Hooks.OnMembers(List);
+  }
+  for (const control::gossip_record &Record : Store.takeChangedRecords())
+    onChangedRecord(Record, Teller);
+}
+
+void control_agent::onChangedRecord(const control::gossip_record &Record,
+                                    const std::string &Teller) {
+  switch (Record.kind()) {
+  case control::RECORD_HEAD: {
+    control::head Head;
+    if (Head.ParseFromString(Record.payload()))
+      onHead(Head, Teller);
+    return;
+  }
+  case control::RECORD_SEAT: {
+    control::seat Value;
+    for (relay_seat &Seat : Seats)
+      if (Seat.Name == Record.key() &&
+          Value.ParseFromString(Record.payload()) &&
+          Value.instance() != Options.Instance)
+        Seat.Seat->onHolderSeen(Clock());
+    break;
+  }
+  case control::RECORD_CONFIRMATION:
+    return;
+  default:
+    break;
+  }
+  if (Hooks.OnRecord)
+    Hooks.OnRecord(Record);
+}
+
+//-----------------------------------------------------------------------------
+// Documents
+//-----------------------------------------------------------------------------
+
+void control_agent::onHead(const control::head &Head,
+                           const std::string &Teller) {
+  const std::uint64_t Before = Documents.knownVersion();
+  auto Actions = Documents.onHead(Clock(), Head, Teller);
+  if (!Actions) {
+    log("event=head_refused teller=" + Teller + " reason=\"" +
+        Actions.error().text() + "\"");
+    return;
+  }
+  if (Documents.knownVersion() > Before) {
+    Tracker.onHead(Clock(), Head);
+    refreshVersions();
+    control::gossip_record Record;
+    Record.set_kind(control::RECORD_HEAD);
+    Record.set_key(Options.Environment);
+    Record.set_revision(Head.version());
+    Record.set_payload(Head.SerializeAsString());
+    (void)Store.mergeRecord(Clock(), Record);
+    Members.setHead(Record);
+  }
+  perform(Actions.value());
+}
+
+void control_agent::perform(const distribution::actions &Actions) {
+  for (const distribution_action &Action : Actions) {
+    switch (Action.Kind) {
+    case distribution_action::kind::FetchFromPeer: {
+      control::fetch_request Request;
+      Request.set_environment(Options.Environment);
+      for (const std::string &Hash : Action.Hashes)
+        Request.add_hashes(Hash);
+      const std::string Address = controlAddress(Action.Peer);
+      auto Answer =
+          guarded([this, Fetch = Action.Fetch](
+                      const state::result<control::fetch_response> &Response) {
+            if (!Response)
+              return perform(
+                  Documents.onFetched(Clock(), Fetch, Response.error()));
+            distribution::parts Parts;
+            for (const auto &Part : Response.value().parts())
+              Parts.emplace_back(Part.hash(), Part.data());
+            perform(Documents.onFetched(Clock(), Fetch, Parts));
+          });
+      if (Address.empty())
+        Answer(state::failure(errc::NotFound, "no address of " + Action.Peer));
+      else
+        Io.fetch(Address, Request, Answer);
+      break;
+    }
+    case distribution_action::kind::FetchFromPlatform:
+      fetchFromPlatform(Action.Fetch, Action.Hashes);
+      break;
+    case distribution_action::kind::InForce:
+      inForce(Action);
+      break;
+    case distribution_action::kind::Refused:
+      log("event=document_refused version=" +
+          std::to_string(Action.Head.version()) + " reason=\"" +
+          Action.Failure.text() + "\"");
+      break;
+    }
+  }
+}
+
+void control_agent::inForce(const distribution_action &Action) {
+  const time_point Now = Clock();
+  Applied.store(Action.Snapshot->Version, std::memory_order_release);
+  Grantor.onSpec(Action.Snapshot->Document.Lease);
+  Tracker.onSpec(Action.Snapshot->Document.Lease);
+  refreshVersions();
+  if (Hooks.OnSnapshot)
+    Hooks.OnSnapshot(Action.Snapshot);
+  log("event=in_force version=" + std::to_string(Action.Snapshot->Version));
+  if (Members.started())
+    sendAll(Members.notify(Now, NotifiedPeers));
+  AcknowledgementDue = true;
+  // Members of a data centre report to the same two relays.
+  NextAcknowledgement = Now + between(Random, std::chrono::milliseconds(0),
+                                      std::chrono::milliseconds(500));
+}
+
+void control_agent::refreshVersions() {
+  Members.setVersions(appliedVersion(), Documents.knownVersion());
+}
+
+std::string control_agent::controlAddress(const std::string &Instance) const {
+  const control::member *Member = Store.findMember(Instance);
+  return Member == nullptr ? "" : Member->control_address();
+}
+
+std::vector<std::string> control_agent::fetchPeers(std::size_t Count) {
+  std::vector<std::string> Peers;
+  // Relays of the own data centre get a new version first.
+  for (const relay_seat &Seat : Seats) {
+    const control::gossip_record *Record =
+        Store.findRecord(control::RECORD_SEAT, Seat.Name);
+    control::seat Value;
+    if (Record != nullptr && Value.ParseFromString(Record->payload()) &&
+        Value.instance() != Options.Instance && Peers.size() < Count)
+      Peers.push_back(Value.instance());
+  }
+  for (const control::member &Member : Members.randomMembers(Count))
+    if (Peers.size() < Count &&
+        std::find(Peers.begin(), Peers.end(), Member.instance()) == Peers.end())
+      Peers.push_back(Member.instance());
+  return Peers;
+}
+
+//-----------------------------------------------------------------------------
+// Calls of other daemons
+//-----------------------------------------------------------------------------
+
+control::fetch_response
+control_agent::onFetch(const control::fetch_request &Request) {
+  return Documents.serve(Request);
+}
+
+control::sync_response
+control_agent::onSync(const control::sync_request &Request) {
+  control::sync_response Response;
+  if (!Started || Request.environment() != Options.Environment)
+    return Response;
+  // Read before the merge, which would name the caller's own record.
+  const instance_memory Memory = Store.remembered(Request.from_instance());
+  auto Merged =
+      Store.merge(Clock(), Request.members(), Request.records(), true);
+  if (!Merged)
+    log("event=sync_refused from=" + Request.from_instance() + " reason=\"" +
+        Merged.error().text() + "\"");
+  Members.onMerged(Clock());
+  afterMerge(Request.from_instance());
+  Store.exportAll(Clock(), Response.mutable_members(),
+                  Response.mutable_records());
+  Response.set_callers_applied_version(Memory.AppliedVersion);
+  Response.set_callers_incarnation(Memory.Incarnation);
+  Response.set_known_version(Documents.knownVersion());
+  Response.set_callee_ready(Gate.floor().has_value() &&
+                            Documents.knownVersion() > 0);
+  return Response;
+}
+
+control::renew_response
+control_agent::onRenew(const control::renew_request &Request) {
+  const time_point Now = Clock();
+  grant_view View;
+  View.AppliedVersion = appliedVersion();
+  View.KnownVersion = Documents.knownVersion();
+  View.KnownRefused = Documents.refusedKnown();
+  View.MajorityReachable = Members.majorityReachable(Now);
+  View.PlatformDown = PlatformDown;
+  const control::gossip_record *Record =
+      Store.findRecord(control::RECORD_CONFIRMATION, Options.Environment);
+  control::confirmation Confirmation;
+  if (Record != nullptr && Confirmation.ParseFromString(Record->payload()))
+    View.ConfirmedVersion = Confirmation.head_version();
+  const control::member *Member = Store.findMember(Request.instance());
+  if (Member != nullptr) {
+    View.RememberedLevel = Member->lease_level();
+    View.LeftCleanly = Member->status() == control::MEMBER_LEFT;
+  }
+  if (Request.environment() != Options.Environment || !ready()) {
+    control::renew_response Response;
+    Response.set_reason("not ready");
+    Response.set_retry_after_ms(1000);
+    return Response;
+  }
+  // A grant needs a recent read; the caller's next try finds it.
+  if (!Grantor.confirmed(Now) && Now >= NextHeadRead)
+    readHead(false);
+  Store.noteApplied(Request.instance(), Request.applied_version());
+  return Grantor.onRequest(Now, Request, View);
+}
+
+control::report_response
+control_agent::onReport(const control::report_request &Request) {
+  control::report_response Response;
+  if (Request.environment() != Options.Environment)
+    return Response;
+  Response.set_accepted(true);
+  if (Request.aggregated() || collector() == Options.Instance)
+    trackReport(Request);
+  else
+    addReport(Request);
+  return Response;
+}
+
+} // namespace hyssopledge::coordination
--- /dev/null
+++ b/hyssopledge/coordination/control_agent.h
@@ -0,0 +1,246 @@
+/// \file
+/// Joins the control decisions of one daemon. Does no I/O itself: it calls
+/// control_io and platform_store, and is driven by a clock that is passed in,
+/// so that it runs the same in the daemon, in tests and in benches.
+#pragma once
+
+#include "hyssopledge/coordination/distribution.h"
+#include "hyssopledge/coordination/gossip_store.h"
+#include "hyssopledge/coordination/lease_policy.h"
+#include "hyssopledge/coordination/membership.h"
+#include "hyssopledge/coordination/platform.h"
+#include "hyssopledge/coordination/seat.h"
+#include "hyssopledge/coordination/version_gate.h"
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hyssopledge::coordination {
+
+//-----------------------------------------------------------------------------
+// Interfaces
+//-----------------------------------------------------------------------------
+
+/// Calls on other daemons. Handlers run on the agent's thread; a call that gets
+/// no answer fails with Timeout or Unavailable.
+class control_io {
+public:
+  template <class T> using handler = std::function<void(state::result<T>)>;
+
+  virtual ~control_io() = default;
+  virtual void send(const std::string &Address,
+                    const control::gossip_packet &Packet) = 0;
+  virtual void fetch(const std::string &Address,
+                     const control::fetch_request &Request,
+                     handler<control::fetch_response> Handler) = 0;
+  virtual void sync(const std::string &Address,
+                    const control::sync_request &Request,
+                    handler<control::sync_response> Handler) = 0;
+  virtual void renew(const std::string &Address,
+                     const control::renew_request &Request,
+                     handler<control::renew_response> Handler) = 0;
+  virtual void report(const std::string &Address,
+                      const control::report_request &Request,
+                      handler<control::report_response> Handler) = 0;
+};
+
+struct control_options {
+  std::string Environment;
+  std::string Instance;
+  std::string DataCentre;
+  std::string GossipAddress;               // "ip:port", UDP
+  std::string ControlAddress;              // "ip:port", gRPC
+  std::string DataAddress;                 // "ip:port", HTTP
+  std::vector<std::string> BootstrapPeers; // control addresses
+  std::uint64_t Seed = 1;                  // of the random numbers
+  std::uint64_t IncarnationHint = 1;       // grows between restarts
+  state::milliseconds ProbeInterval{1000};
+  state::milliseconds StartSpread{1000}; // first platform read waits up to this
+  state::milliseconds ConfirmInterval{
+      5000}; // a relay reads the head this often
+  state::milliseconds LevelWriteInterval{60000};
+};
+
+/// What the program wants to hear. Empty functions are not called.
+struct control_hooks {
+  std::function<void(std::shared_ptr<const state::snapshot>)> OnSnapshot;
+  std::function<void(const std::vector<control::member> &)> OnMembers;
+  /// Directive, vote, sighting and seat records.
+  std::function<void(const control::gossip_record &)> OnRecord;
+  /// Reports that reach the coordinator's daemon, or a relay while no
+  /// coordinator is known.
+  std::function<void(const control::report_request &)> OnReport;
+  /// One line of key=value for the log.
+  std::function<void(const std::string &)> OnLog;
+};
+
+//-----------------------------------------------------------------------------
+// Agent
+//-----------------------------------------------------------------------------
+
+/// Runs on one thread, but for the methods marked as thread-safe.
+class control_agent {
+public:
+  using clock = std::function<state::time_point()>;
+  using wall_clock = std::function<std::int64_t()>; // Unix milliseconds
+
+  control_agent(control_options Options, control_hooks Hooks, control_io &Io,
+                platform_store &Platform, clock Clock, wall_clock WallClock);
+  ~control_agent();
+
+  //--- Program ----------------------------------------------------------------
+  void start();
+  /// Announces the departure and gives up seats; repeat it a few times, as
+  /// announcements may be lost.
+  void leave();
+  void setTargets(const std::vector<control::target> &Targets);
+  state::result<bool> publish(const control::gossip_record &Record);
+  void sendEvidence(const control::reporter_evidence &Evidence);
+  /// Thread-safe. Whether new entry calls may be accepted at the time.
+  bool leaseValid(state::time_point Now) const { return Holder.validAt(Now); }
+  /// Thread-safe. Whether a configuration is in force.
+  bool ready() const { return Applied.load(std::memory_order_acquire) != 0; }
+  /// Thread-safe.
+  std::uint64_t appliedVersion() const {
+    return Applied.load(std::memory_order_acquire);
+  }
+  std::string status() const; // JSON
+  control::convergence convergence() const;
+  bool holdsRelaySeat() const;
+
+  //--- Events -----------------------------------------------------------------
+  /// Call it about four times in a probe interval.
+  void onTick();
+  void onPacket(const control::gossip_packet &Packet);
+  control::fetch_response onFetch(const control::fetch_request &Request);
+  control::sync_response onSync(const control::sync_request &Request);
+  control::renew_response onRenew(const control::renew_request &Request);
+  control::report_response onReport(const control::report_request &Request);
+
+  //--- Parts, for tests and status --------------------------------------------
+  const gossip_store &store() const { return Store; }
+  const version_gate &gate() const { return Gate; }
+  const membership &members() const { return Members; }
+  const distribution &documents() const { return Documents; }
+
+private:
+  static constexpr unsigned RelaySeats = 2; // in each data centre
+  struct relay_seat {
+    std::string Name; // of the gossip record
+    std::unique_ptr<seat> Seat;
+    std::unique_ptr<seat_runner> Runner;
+    bool WasHeld = false;
+    std::uint64_t Refreshes = 0;
+    state::time_point NextRefresh{};
+  };
+
+  /// Wraps a handler so that it does nothing after the agent's destruction.
+  template <class F> auto guarded(F Function) {
+    return [Alive = std::weak_ptr<int>(Alive),
+            Function = std::move(Function)](auto &&...Arguments) {
+      if (!Alive.expired())
+        Function(std::forward<decltype(Arguments)>(Arguments)...);
+    };
+  }
+
+  // control_agent.cpp
+  void sendAll(const std::vector<outgoing_packet> &Packets);
+  void afterMerge(const std::string &Teller);
+  void onChangedRecord(const control::gossip_record &Record,
+                       const std::string &Teller);
+  void onHead(const control::head &Head, const std::string &Teller);
+  void perform(const distribution::actions &Actions);
+  void inForce(const distribution_action &Action);
+  void refreshVersions();
+  void log(const std::string &Line) const;
+  std::vector<std::string> fetchPeers(std::size_t Count);
+  std::string controlAddress(const std::string &Instance) const;
+
+  // control_agent_calls.cpp
+  void tickStart(state::time_point Now);
+  void syncWith(const std::string &Address);
+  void onSynced(const std::string &Address,
+                const state::result<control::sync_response> &Response);
+  void tickPlatform(state::time_point Now);
+  void readHead(bool Watching);
+  void onHeadRead(state::time_point Sent,
+                  const state::result<platform_read> &Read, bool Watching);
+  void startWatch(std::int64_t Revision);
+  void readSeats();
+  void tickSeats(state::time_point Now);
+  void publishSeat(relay_seat &Seat, state::time_point Now);
+  void tickLevels(state::time_point Now);
+  void tickRenewal(state::time_point Now);
+  void tickReports(state::time_point Now);
+  void addReport(const control::report_request &Report);
+  void trackReport(const control::report_request &Report);
+  std::optional<std::string> relayAddress();
+  std::string collector() const;
+  std::size_t dataCentreMembers() const;
+  void fetchFromPlatform(std::uint64_t Fetch,
+                         const std::vector<std::string> &Hashes);
+
+  control_options Options;
+  control_hooks Hooks;
+  control_io &Io;
+  platform_store &Platform;
+  clock Clock;
+  wall_clock WallClock;
+  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+  state::random_engine Random;
+  gossip_store Store;
+  membership Members;
+  version_gate Gate;
+  part_cache Cache;
+  call_budget Budget;
+  distribution Documents;
+  lease_holder Holder;
+  lease_grantor Grantor;
+  convergence_tracker Tracker;
+  std::array<relay_seat, RelaySeats> Seats;
+  std::atomic<std::uint64_t> Applied{0};
+
+  // Start
+  bool Started = false;
+  bool Leaving = false;
+  unsigned SyncsAnswered = 0;
+  unsigned SyncsFailed = 0;
+  std::vector<std::string> Contacts; // control addresses to join through
+  std::size_t NextContact = 0;
+  state::time_point StartedAt{};
+  state::time_point NextSync{};
+  bool SeatsRead = false;
+
+  // Platform
+  bool ReadingHead = false;
+  bool ReadingSeats = false;
+  bool PlatformDown = false;
+  state::time_point NextHeadRead{};
+  state::time_point NextSeatsRead{};
+  std::unique_ptr<platform_watch> Watch;
+  bool WatchWanted = false;
+  unsigned WatchFailures = 0;
+  state::time_point NextWatch{};
+  state::time_point NextConfirmation{};
+
+  // Levels
+  bool LevelsRead = false;
+  bool LevelsBusy = false;
+  std::int64_t LevelsRevision = 0;
+  state::time_point NextLevels{};
+
+  // Reports
+  control::report_request Outbox;
+  bool AcknowledgementDue = false;
+  state::time_point NextAcknowledgement{};
+  state::time_point NextReport{};
+  std::vector<control::reporter_evidence> Evidence;
+  state::time_point NextEvidence{};
+};
+
+} // namespace hyssopledge::coordination
--- /dev/null
+++ b/hyssopledge/coordination/control_agent_calls.cpp
@@ -0,0 +1,514 @@
+// The agent's calls on the platform and on other daemons.
+#include "hyssopledge/coordination/control_agent.h"
+#include "hyssopledge/coordination/keys.h"
+#include "hyssopledge/protocol/document_codec.h"
+
+#include <algorithm>
+#include <set>
+
+namespace hyssopledge::coordination {
+
+using state::milliseconds;
+using state::time_point;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr milliseconds SeatRefresh{30000};
+constexpr milliseconds SeatRecordLife{100000}; // three refreshes may be lost
+constexpr milliseconds ConfirmationLife{60000};
+constexpr milliseconds ReportInterval{1000};
+constexpr std::size_t MaxOutboxEvidence = 2048;
+constexpr std::size_t MaxOutboxAcknowledgements = 2048;
+constexpr unsigned StartSyncs = 3;
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// Start and repair
+//-----------------------------------------------------------------------------
+
+void control_agent::tickStart(time_point Now) {
+  // The first syncs tell the remembered incarnation and must come first, but a
+  // daemon that nobody answers starts alone.
+  if (!Members.started() &&
+      (SyncsAnswered >= 1 || SyncsFailed >= StartSyncs ||
+       (SeatsRead && Contacts.empty()) || Now >= StartedAt + 3s)) {
+    Members.start(Now, Options.IncarnationHint);
+    refreshVersions();
+    afterMerge("");
+  }
+  const bool Joined = SyncsAnswered > 0 && Store.liveCount() > 1;
+  if (Now >= NextSync && !(Joined && Gate.floor())) {
+    std::vector<std::string> Addresses = Contacts;
+    if (Joined) {
+      Addresses.clear();
+      for (const control::member &Member : Members.randomMembers(4))
+        Addresses.push_back(Member.control_address());
+    }
+    if (!Addresses.empty())
+      syncWith(Addresses[NextContact++ % Addresses.size()]);
+    // Syncs are large; a daemon that finds nobody asks more and more rarely.
+    const milliseconds Pause = std::min<milliseconds>(
+        30s, 250ms * (1U << std::min(NextContact / 4, std::size_t{7})));
+    NextSync = Now + between(Random, Pause / 2, Pause);
+  }
+  if (const auto Peer = Members.takeSyncPeer(Now))
+    syncWith(Peer->control_address());
+}
+
+void control_agent::syncWith(const std::string &Address) {
+  control::sync_request Request;
+  Request.set_environment(Options.Environment);
+  Request.set_from_instance(Options.Instance);
+  Request.set_from_incarnation(Members.self().incarnation());
+  Store.exportAll(Clock(), Request.mutable_members(),
+                  Request.mutable_records());
+  Io.sync(Address, Request, guarded([this, Address](const auto &Response) {
+            onSynced(Address, Response);
+          }));
+}
+
+void control_agent::onSynced(
+    const std::string &Address,
+    const state::result<control::sync_response> &Response) {
+  const time_point Now = Clock();
+  if (!Response) {
+    ++SyncsFailed;
+    return;
+  }
+  const control::sync_response &Answer = Response.value();
+  auto Merged = Store.merge(Now, Answer.members(), Answer.records(), true);
+  if (!Merged) {
+    ++SyncsFailed;
+    log("event=sync_refused from=" + Address + " reason=\"" +
+        Merged.error().text() + "\"");
+    return;
+  }
+  ++SyncsAnswered;
+  std::string Teller;
+  for (const control::member &Member : Answer.members())
+    if (Member.control_address() == Address)
+      Teller = Member.instance();
+  if (Members.started())
+    Members.onRememberedIncarnation(Now, Answer.callers_incarnation());
+  else
+    Options.IncarnationHint =
+        std::max(Options.IncarnationHint, Answer.callers_incarnation() + 1);
+  Members.onMerged(Now);
+  afterMerge(Teller);
+  if (Answer.callee_ready()) {
+    Gate.onPeerAnswer(Address, Answer.known_version(),
+                      Answer.callers_applied_version());
+    perform(Documents.onTick(Now));
+  }
+}
+
+//-----------------------------------------------------------------------------
+// Platform
+//-----------------------------------------------------------------------------
+
+void control_agent::tickPlatform(time_point Now) {
+  const bool Relay = holdsRelaySeat();
+  Documents.setRelay(Relay);
+  if (!SeatsRead && Now >= NextSeatsRead)
+    readSeats();
+  if (Relay != WatchWanted) {
+    WatchWanted = Relay;
+    WatchFailures = 0;
+    NextWatch = Now;
+    Watch.reset();
+  }
+  const bool WatchDue = Relay && !Watch && Now >= NextWatch;
+  if (Now >= NextHeadRead &&
+      (!Gate.floor() || (Relay && (WatchDue || Now >= NextConfirmation))))
+    readHead(WatchDue);
+}
+
+void control_agent::readHead(bool Watching) {
+  const time_point Now = Clock();
+  if (ReadingHead || !Budget.take(Now, 1))
+    return;
+  ReadingHead = true;
+  Platform.get(keys::head(Options.Environment), false,
+               guarded([this, Now, Watching](const auto &Read) {
+                 onHeadRead(Now, Read, Watching);
+               }));
+}
+
+void control_agent::onHeadRead(time_point Sent,
+                               const state::result<platform_read> &Read,
+                               bool Watching) {
+  const time_point Now = Clock();
+  ReadingHead = false;
+  PlatformDown = !Read;
+  if (!Read) {
+    Budget.onFailure(Now, Random);
+    Gate.onPlatformFailed();
+    Watch.reset();
+    // The budget's back-off decides on the next one.
+    NextHeadRead = Now + 250ms;
+    return;
+  }
+  Budget.onSuccess();
+  NextHeadRead = Now + 1s;
+  NextConfirmation = Now + Options.ConfirmInterval;
+  control::head Head;
+  if (!Read.value().Entries.empty() &&
+      !Head.ParseFromString(Read.value().Entries.front().Value)) {
+    log("event=head_unreadable key=" + keys::head(Options.Environment));
+    return;
+  }
+  Grantor.onConfirmed(Sent, Head.version());
+  Gate.onPlatformHead(Head.version());
+  if (Head.version() > 0)
+    onHead(Head, "");
+  perform(Documents.onTick(Now));
+  if (Watching && WatchWanted)
+    startWatch(Read.value().Revision + 1);
+  const control::gossip_record *Last =
+      Store.findRecord(control::RECORD_CONFIRMATION, Options.Environment);
+  const auto UnixMs = static_cast<std::uint64_t>(WallClock());
+  // One confirmation in half a minute is enough for the whole fleet.
+  if (Head.version() > 0 && holdsRelaySeat() &&
+      (Last == nullptr || UnixMs > Last->revision() + 30000)) {
+    control::confirmation Confirmation;
+    Confirmation.set_head_version(Head.version());
+    Confirmation.set_confirmed_unix_ms(static_cast<std::int64_t>(UnixMs));
+    Confirmation.set_by_platform(true);
+    control::gossip_record Record;
+    Record.set_kind(control::RECORD_CONFIRMATION);
+    Record.set_key(Options.Environment);
+    Record.set_revision(UnixMs);
+    Record.set_payload(Confirmation.SerializeAsString());
+    Record.set_remaining_ms(
+        static_cast<std::uint32_t>(ConfirmationLife.count()));
+    (void)Store.mergeRecord(Now, Record);
+  }
+}
+
+void control_agent::startWatch(std::int64_t Revision) {
+  Watch = Platform.watch(
+      keys::head(Options.Environment), false, Revision,
+      guarded([this](const auto &Events) {
+        if (!Events) {
+          Watch.reset();
+          const milliseconds Backoff = std::min<milliseconds>(
+              10s, 200ms * (1U << std::min(WatchFailures, 6U)));
+          ++WatchFailures;
+          NextWatch = Clock() + between(Random, Backoff / 2, Backoff);
+          return;
+        }
+        WatchFailures = 0;
+        for (const platform_event &Event : Events.value()) {
+          control::head Head;
+          if (!Event.Deleted && Head.ParseFromString(Event.Entry.Value))
+            onHead(Head, "");
+        }
+      }));
+}
+
+void control_agent::readSeats() {
+  const time_point Now = Clock();
+  if (ReadingSeats || !Budget.take(Now, 1))
+    return;
+  ReadingSeats = true;
+  Platform.get(keys::relaySeats(Options.Environment), true,
+               guarded([this](const state::result<platform_read> &Read) {
+                 const time_point At = Clock();
+                 ReadingSeats = false;
+                 NextSeatsRead = At + 1s;
+                 if (!Read) {
+                   PlatformDown = true;
+                   Gate.onPlatformFailed();
+                   Budget.onFailure(At, Random);
+                   return;
+                 }
+                 Budget.onSuccess();
+                 SeatsRead = true;
+                 for (const platform_entry &Entry : Read.value().Entries) {
+                   control::seat Value;
+                   if (Value.ParseFromString(Entry.Value) &&
+                       Value.instance() != Options.Instance)
+                     Contacts.push_back(Value.control_address());
+                 }
+                 std::shuffle(Contacts.begin(), Contacts.end(), Random);
+               }));
+}
+
+void control_agent::fetchFromPlatform(std::uint64_t Fetch,
+                                      const std::vector<std::string> &Hashes) {
+  struct gathering {
+    distribution::parts Parts;
+    std::size_t Open = 0;
+    std::optional<state::failure> Failure;
+  };
+  auto Gathering = std::make_shared<gathering>();
+  Gathering->Open = Hashes.size();
+  for (const std::string &Hash : Hashes)
+    Platform.get(
+        keys::part(protocol::hexEncode(Hash)), false,
+        guarded([this, Fetch, Hash,
+                 Gathering](const state::result<platform_read> &Read) {
+          if (!Read)
+            Gathering->Failure = Read.error();
+          else if (!Read.value().Entries.empty())
+            Gathering->Parts.emplace_back(Hash,
+                                          Read.value().Entries.front().Value);
+          if (--Gathering->Open > 0)
+            return;
+          if (Gathering->Failure && Gathering->Parts.empty())
+            perform(Documents.onFetched(Clock(), Fetch, *Gathering->Failure));
+          else
+            perform(Documents.onFetched(Clock(), Fetch, Gathering->Parts));
+        }));
+}
+
+//-----------------------------------------------------------------------------
+// Seats and lease levels
+//-----------------------------------------------------------------------------
+
+std::size_t control_agent::dataCentreMembers() const {
+  return static_cast<std::size_t>(std::count_if(
+      Store.members().begin(), Store.members().end(), [this](const auto &Item) {
+        return Item.second.Member.data_centre() == Options.DataCentre &&
+               Item.second.Member.status() == control::MEMBER_ALIVE;
+      }));
+}
+
+void control_agent::tickSeats(time_point Now) {
+  if (!Members.started() || !SeatsRead)
+    return;
+  const std::size_t Candidates = dataCentreMembers();
+  for (unsigned I = 0; I < RelaySeats; ++I) {
+    relay_seat &Seat = Seats[I];
+    // One daemon holds both seats only when it is alone.
+    const bool HoldsOther = Seats[1 - I].Seat->heldAt(Now) &&
+                            !Seat.Seat->heldAt(Now) && Candidates > 1;
+    Seat.Seat->setCandidates(Candidates);
+    Seat.Seat->setEligible(!HoldsOther);
+    Seat.Runner->onTick(Now);
+    const bool Held = Seat.Seat->heldAt(Now);
+    if (Held && (!Seat.WasHeld || Now >= Seat.NextRefresh))
+      publishSeat(Seat, Now);
+    if (Held != Seat.WasHeld)
+      log("event=seat name=" + Seat.Name + " held=" + (Held ? "1" : "0") +
+          " token=" + std::to_string(Seat.Seat->fencingToken()));
+    Seat.WasHeld = Held;
+  }
+}
+
+void control_agent::publishSeat(relay_seat &Seat, time_point Now) {
+  Seat.NextRefresh = Now + SeatRefresh;
+  control::seat Value;
+  Value.ParseFromString(Seat.Seat->options().Value);
+  Value.set_fencing_token(Seat.Seat->fencingToken());
+  control::gossip_record Record;
+  Record.set_kind(control::RECORD_SEAT);
+  Record.set_key(Seat.Name);
+  // A later holder's token is higher, whatever the number of refreshes.
+  Record.set_revision(
+      (static_cast<std::uint64_t>(Seat.Seat->fencingToken()) << 20U) +
+      ++Seat.Refreshes);
+  Record.set_payload(Value.SerializeAsString());
+  Record.set_remaining_ms(static_cast<std::uint32_t>(SeatRecordLife.count()));
+  (void)publish(Record);
+}
+
+void control_agent::tickLevels(time_point Now) {
+  // Only the holder of the lowest seat writes, so that relays don't race.
+  if (!Seats[0].Seat->heldAt(Now) || LevelsBusy || Now < NextLevels ||
+      !Budget.take(Now, 1))
+    return;
+  const std::string Key =
+      keys::leaseLevels(Options.Environment, Options.DataCentre);
+  NextLevels = Now + Options.LevelWriteInterval;
+  LevelsBusy = true;
+  if (!LevelsRead) {
+    Platform.get(Key, false, guarded([this](const auto &Read) {
+                   LevelsBusy = false;
+                   if (!Read)
+                     return;
+                   LevelsRead = true;
+                   LevelsRevision = 0;
+                   for (const platform_entry &Entry : Read.value().Entries) {
+                     control::lease_levels Levels;
+                     LevelsRevision = Entry.ModRevision;
+                     if (Levels.ParseFromString(Entry.Value))
+                       Grantor.importLevels(Levels);
+                   }
+                 }));
+    return;
+  }
+  if (!Grantor.takeChanged()) {
+    LevelsBusy = false;
+    return;
+  }
+  platform_txn Txn;
+  Txn.Conditions = {{Key, LevelsRevision}};
+  Txn.Puts = {{Key, Grantor.levels().SerializeAsString(), 0}};
+  Platform.commit(std::move(Txn), guarded([this](const auto &Result) {
+                    LevelsBusy = false;
+                    // Another relay wrote, or the answer was lost: read again.
+                    LevelsRead = Result && Result.value().Succeeded;
+                    if (LevelsRead)
+                      LevelsRevision = Result.value().Revision;
+                  }));
+}
+
+//-----------------------------------------------------------------------------
+// Renewals and reports
+//-----------------------------------------------------------------------------
+
+std::optional<std::string> control_agent::relayAddress() {
+  if (holdsRelaySeat())
+    return Options.ControlAddress;
+  std::vector<std::string> Own;
+  std::vector<std::string> Other;
+  const std::string OwnPrefix = "relay/" + Options.DataCentre + "/";
+  for (const auto &[Key, Entry] : Store.records()) {
+    control::seat Value;
+    if (Key.first != control::RECORD_SEAT ||
+        !Key.second.starts_with("relay/") ||
+        !Value.ParseFromString(Entry.Record.payload()))
+      continue;
+    const control::member *Member = Store.findMember(Value.instance());
+    if (Member == nullptr || Member->status() != control::MEMBER_ALIVE)
+      continue;
+    (Key.second.starts_with(OwnPrefix) ? Own : Other)
+        .push_back(Member->control_address());
+  }
+  const std::vector<std::string> &Choice = Own.empty() ? Other : Own;
+  if (!Choice.empty())
+    return Choice[state::uniformBelow(Random, Choice.size())];
+  // While the platform is down seats lapse; any daemon may then find the
+  // majority.
+  const auto Peers = Members.randomMembers(1);
+  if (!Peers.empty())
+    return Peers.front().control_address();
+  return Members.started() ? std::optional(Options.ControlAddress)
+                           : std::nullopt;
+}
+
+void control_agent::tickRenewal(time_point Now) {
+  if (!ready() || !Members.started() || !Holder.due(Now))
+    return;
+  const auto Address = relayAddress();
+  if (!Address)
+    return;
+  control::renew_request Request;
+  Request.set_environment(Options.Environment);
+  Request.set_instance(Options.Instance);
+  Request.set_incarnation(Members.self().incarnation());
+  Request.set_applied_version(appliedVersion());
+  Holder.begin(Now, Request);
+  auto Answer = guarded([this](const auto &Response) {
+    const time_point At = Clock();
+    Holder.onAnswer(At, Response);
+    if (Response && Response.value().granted())
+      Members.setLeaseLevel(At, Holder.level());
+    else if (Response && !Response.value().reason().empty())
+      log("event=renewal_refused reason=\"" + Response.value().reason() + "\"");
+  });
+  if (*Address == Options.ControlAddress)
+    Answer(state::result<control::renew_response>(onRenew(Request)));
+  else
+    Io.renew(*Address, Request, Answer);
+}
+
+std::string control_agent::collector() const {
+  control::seat Value;
+  const control::gossip_record *Record =
+      Store.findRecord(control::RECORD_SEAT, "coordinator");
+  if (Record != nullptr && Value.ParseFromString(Record->payload()))
+    return Value.instance();
+  // Without a coordinator the first relay stands in.
+  for (auto It = Store.records().lower_bound({control::RECORD_SEAT, "relay/"});
+       It != Store.records().end() && It->first.first == control::RECORD_SEAT &&
+       It->first.second.starts_with("relay/");
+       ++It) {
+    if (!Value.ParseFromString(It->second.Record.payload()))
+      continue;
+    const control::member *Member = Store.findMember(Value.instance());
+    if (Member != nullptr && Member->status() == control::MEMBER_ALIVE)
+      return Value.instance();
+  }
+  return "";
+}
+
+void control_agent::sendEvidence(
+    const control::reporter_evidence &NewEvidence) {
+  if (Evidence.size() < MaxOutboxEvidence)
+    Evidence.push_back(NewEvidence);
+}
+
+void control_agent::addReport(const control::report_request &Report) {
+  for (const auto &Item : Report.acknowledgements())
+    if (static_cast<std::size_t>(Outbox.acknowledgements_size()) <
+        MaxOutboxAcknowledgements)
+      *Outbox.add_acknowledgements() = Item;
+  for (const auto &Item : Report.evidence())
+    if (static_cast<std::size_t>(Outbox.evidence_size()) < MaxOutboxEvidence)
+      *Outbox.add_evidence() = Item;
+}
+
+void control_agent::trackReport(const control::report_request &Report) {
+  for (const auto &Item : Report.acknowledgements()) {
+    Tracker.onAcknowledgement(Clock(), Item);
+    Store.noteApplied(Item.instance(), Item.applied_version());
+  }
+  if (Hooks.OnReport)
+    Hooks.OnReport(Report);
+}
+
+void control_agent::tickReports(time_point Now) {
+  if (!Members.started() || Now < NextReport)
+    return;
+  // A member's interval grows with its data centre, so that the bytes that
+  // reach a relay stay flat.
+  const std::size_t Neighbours = std::max<std::size_t>(1, dataCentreMembers());
+  control::report_request Report;
+  if (AcknowledgementDue && Now >= NextAcknowledgement) {
+    auto *Item = Report.add_acknowledgements();
+    Item->set_instance(Options.Instance);
+    Item->set_incarnation(Members.self().incarnation());
+    Item->set_applied_version(appliedVersion());
+    Item->set_lease_remaining_ms(
+        static_cast<std::uint64_t>(Holder.remaining(Now).count()));
+    // Lost acknowledgements and changes of the collector are repaired by
+    // repetition.
+    NextAcknowledgement = Now + between(Random, 5s + 200ms * Neighbours,
+                                        10s + 400ms * Neighbours);
+  }
+  if (!Evidence.empty() && Now >= NextEvidence) {
+    for (control::reporter_evidence &Item : Evidence)
+      *Report.add_evidence() = std::move(Item);
+    Evidence.clear();
+    NextEvidence =
+        Now + between(Random, 1s + 20ms * Neighbours, 1s + 40ms * Neighbours);
+  }
+  const std::string Collector = collector();
+  const bool Relay = holdsRelaySeat();
+  if (Relay || Collector == Options.Instance) {
+    addReport(Report);
+    std::swap(Report, Outbox);
+    Outbox.Clear();
+    Report.set_aggregated(true);
+    NextReport = Now + between(Random, ReportInterval / 2, ReportInterval);
+  }
+  if (Report.acknowledgements().empty() && Report.evidence().empty())
+    return;
+  Report.set_environment(Options.Environment);
+  Report.set_from_instance(Options.Instance);
+  if (Collector == Options.Instance)
+    return trackReport(Report);
+  const std::string To =
+      Relay ? controlAddress(Collector) : relayAddress().value_or("");
+  if (To.empty() || To == Options.ControlAddress)
+    return;
+  Io.report(To, Report, [](const auto &) {
+    // A lost report is repaired by the next acknowledgement.
+  });
+}
+
+} // namespace hyssopledge::coordination
--- a/hyssopledge/coordination/distribution.cpp
+++ b/hyssopledge/coordination/distribution.cpp
@@ -116,9 +116,7 @@
   }
   Action.Fetch = ++LastFetch;
   Action.Hashes = Missing;
-  Fetching = fetch{LastFetch,
-                   Action.Kind == distribution_action::kind::FetchFromPlatform,
-                   std::move(Missing)};
+  Fetching = fetch{LastFetch, Action.Peer, std::move(Missing)};
   Out.push_back(std::move(Action));
   return true;
 }
@@ -147,7 +145,10 @@
       Added += Result && Result.value() ? 1 : 0;
     }
   }
-  if (Done.FromPlatform) {
+  // A peer that had something likely has the rest.
+  if (Added > 0 && !Done.Peer.empty())
+    Round.push_back(Done.Peer);
+  if (Done.Peer.empty()) {
     if (Parts)
       Budget.onSuccess();
     else
--- a/hyssopledge/coordination/distribution.h
+++ b/hyssopledge/coordination/distribution.h
@@ -25,11 +25,11 @@
   std::string Environment;
   unsigned PeersPerRound = 3;        // others, after the one that told first
   state::milliseconds RetryMin{200}; // pause after a round without success
-  state::milliseconds RetryMax{5000};
+  state::milliseconds RetryMax{2000};
   state::milliseconds PlatformDelayMin{3000};  // a daemon without a relay seat
   state::milliseconds PlatformDelayMax{10000}; // asks the platform this late,
                                                // so that a herd asks its peers
-  std::size_t PlatformBatch = 16; // parts read at once
+  std::size_t PlatformBatch = 16;              // parts read at once
 };
 
 struct distribution_action {
@@ -84,7 +84,7 @@
 private:
   struct fetch {
     std::uint64_t Id = 0;
-    bool FromPlatform = false;
+    std::string Peer; // empty: the platform
     std::vector<std::string> Hashes;
   };
 
--- a/hyssopledge/coordination/gossip_store.cpp
+++ b/hyssopledge/coordination/gossip_store.cpp
@@ -18,6 +18,7 @@
 // Leaves room to refute the highest accepted claim.
 constexpr std::uint64_t MaxCounter = std::uint64_t{1} << 62;
 constexpr std::size_t MaxKeyBytes = 512;
+constexpr unsigned SyncedRetransmits = 3;
 
 bool isLive(const control::member &Member) {
   return Member.status() == control::MEMBER_ALIVE ||
@@ -111,7 +112,8 @@
     time_point Now,
     const google::protobuf::RepeatedPtrField<control::member> &NewMembers,
     const google::protobuf::RepeatedPtrField<control::gossip_record>
-        &NewRecords) {
+        &NewRecords,
+    bool FullSync) {
   std::set<std::string> AddedMembers;
   std::set<record_key> AddedRecords;
   std::size_t AddedBytes = 0;
@@ -140,8 +142,11 @@
                                        std::to_string(Limits.MaxRecords) +
                                        " or their size limit");
   std::size_t Changed = 0;
+  const unsigned Limit = retransmitLimit();
+  const unsigned Sent =
+      FullSync && Limit > SyncedRetransmits ? Limit - SyncedRetransmits : 0;
   for (const control::member &Member : NewMembers)
-    Changed += applyMember(Now, Member) ? 1 : 0;
+    Changed += applyMember(Now, Member, Sent) ? 1 : 0;
   for (const control::gossip_record &Record : NewRecords)
     Changed += applyRecord(Now, Record) ? 1 : 0;
   return Changed;
@@ -157,7 +162,8 @@
   return Merged.value() > 0;
 }
 
-bool gossip_store::applyMember(time_point Now, const control::member &Member) {
+bool gossip_store::applyMember(time_point Now, const control::member &Member,
+                               unsigned Sent) {
   instance_memory &Known = Memory[Member.instance()];
   Known.Incarnation = std::max(Known.Incarnation, Member.incarnation());
   auto Found = Members.find(Member.instance());
@@ -170,7 +176,7 @@
     return false;
   }
   if (Found == Members.end()) {
-    storeMember(Now, Member);
+    storeMember(Now, Member, Sent);
     return true;
   }
   const control::member &Held = Found->second.Member;
@@ -182,11 +188,12 @@
     Next.set_status(control::MEMBER_SUSPECT);
   if (!supersedes(Next, Held))
     return false;
-  storeMember(Now, std::move(Next));
+  storeMember(Now, std::move(Next), Sent);
   return true;
 }
 
-void gossip_store::storeMember(time_point Now, control::member Member) {
+void gossip_store::storeMember(time_point Now, control::member Member,
+                               unsigned Sent) {
   const std::string Instance = Member.instance();
   member_entry &Entry = Members[Instance];
   if (!Entry.Member.instance().empty()) {
@@ -202,7 +209,7 @@
   instance_memory &Known = Memory[Instance];
   Known.Incarnation = std::max(Known.Incarnation, Entry.Member.incarnation());
   ChangedMembers.insert(Instance);
-  enqueue({0, Instance});
+  enqueue({0, Instance}, Sent);
 }
 
 void gossip_store::setSelf(time_point Now, const control::member &Member) {
@@ -339,13 +346,13 @@
          static_cast<unsigned>(std::bit_width(Live + 1));
 }
 
-void gossip_store::enqueue(const news_key &Key) {
+void gossip_store::enqueue(const news_key &Key, unsigned Sent) {
   news &Item = News[Key];
   Queue.erase(
       {Item.Sent, std::numeric_limits<std::uint64_t>::max() - Item.Order, Key});
-  Item = {0, ++Order};
+  Item = {Sent, ++Order};
   Queue.insert(
-      {0, std::numeric_limits<std::uint64_t>::max() - Item.Order, Key});
+      {Sent, std::numeric_limits<std::uint64_t>::max() - Item.Order, Key});
 }
 
 control::gossip_record gossip_store::outgoing(time_point Now,
--- a/hyssopledge/coordination/gossip_store.h
+++ b/hyssopledge/coordination/gossip_store.h
@@ -30,7 +30,7 @@
   state::milliseconds GoneRetention{
       24 * 3600 * 1000}; // dead and left members are remembered for their
                          // incarnation and applied version
-  unsigned RetransmitFactor = 3; // times log2(members), per item of news
+  unsigned RetransmitFactor = 2; // times log2(members), per item of news
 };
 
 /// Whether the incarnation, then the revision, then the status is higher.
@@ -49,12 +49,14 @@
   //--- Input ------------------------------------------------------------------
   // A failure (InvalidMessage, TooLarge) changes nothing.
 
-  /// Members and records of one packet or sync answer, all or none.
-  state::result<std::size_t>
-  merge(state::time_point Now,
-        const google::protobuf::RepeatedPtrField<control::member> &Members,
-        const google::protobuf::RepeatedPtrField<control::gossip_record>
-            &Records);
+  /// Members and records of one packet or full sync, all or none. Members
+  /// that a full sync brings are mostly known to the others and are passed on
+  /// only a few times, or a herd that joins would gossip about all of them.
+  state::result<std::size_t> merge(
+      state::time_point Now,
+      const google::protobuf::RepeatedPtrField<control::member> &Members,
+      const google::protobuf::RepeatedPtrField<control::gossip_record> &Records,
+      bool FullSync = false);
   state::result<bool> mergeRecord(state::time_point Now,
                                   const control::gossip_record &Record);
   /// Replaces the daemon's own member record and queues it.
@@ -117,12 +119,14 @@
 
   state::result<bool> checkMember(const control::member &Member) const;
   state::result<bool> checkRecord(const control::gossip_record &Record) const;
-  bool applyMember(state::time_point Now, const control::member &Member);
+  bool applyMember(state::time_point Now, const control::member &Member,
+                   unsigned Sent);
   bool applyRecord(state::time_point Now, const control::gossip_record &Record);
-  void storeMember(state::time_point Now, control::member Member);
+  void storeMember(state::time_point Now, control::member Member,
+                   unsigned Sent = 0);
   void eraseMember(std::map<std::string, member_entry>::iterator It);
   void eraseRecord(std::map<record_key, record_entry>::iterator It);
-  void enqueue(const news_key &Key);
+  void enqueue(const news_key &Key, unsigned Sent = 0);
   unsigned retransmitLimit() const;
   control::gossip_record outgoing(state::time_point Now,
                                   const record_entry &Entry) const;
--- /dev/null
+++ b/hyssopledge/coordination/lease_policy.cpp
@@ -0,0 +1,315 @@
+#include "hyssopledge/coordination/lease_policy.h"
+
+#include "hyssopledge/coordination/jitter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hyssopledge::coordination {
+
+using state::boot_clock;
+using state::milliseconds;
+using state::time_point;
+
+namespace {
+constexpr milliseconds LongestAccepted{24 * 3600 * 1000};
+constexpr milliseconds RetryMin{500};
+constexpr milliseconds RetryMax{10000};
+constexpr milliseconds RetryAfterMax{30000};
+constexpr std::uint32_t MaxLevel = 64;
+constexpr std::size_t MaxRememberedLevels = 4096;
+} // namespace
+
+milliseconds leaseDuration(const state::lease_spec &Spec, std::uint32_t Level) {
+  const double Seconds = static_cast<double>(Spec.Initial.count()) *
+                         std::pow(Spec.Growth, std::min(Level, MaxLevel));
+  return milliseconds(static_cast<std::int64_t>(
+      1000 * std::min(Seconds, static_cast<double>(Spec.Max.count()))));
+}
+
+//-----------------------------------------------------------------------------
+// Daemon side
+//-----------------------------------------------------------------------------
+
+bool lease_holder::due(time_point Now) const {
+  return !Busy && Now >= NextRenewal;
+}
+
+void lease_holder::begin(time_point Now, control::renew_request &Request) {
+  if (Held && !Lapsed && !validAt(Now)) {
+    Lapsed = true;
+    Level /= 2;
+  }
+  Busy = true;
+  Sent = Now;
+  Request.set_level(Level);
+  Request.set_first(!Held);
+}
+
+void lease_holder::onAnswer(
+    time_point Now, const state::result<control::renew_response> &Answer) {
+  Busy = false;
+  if (Answer && Answer.value().granted()) {
+    const milliseconds Duration =
+        std::min(LongestAccepted,
+                 milliseconds(static_cast<std::int64_t>(std::min<std::uint64_t>(
+                     Answer.value().duration_ms(), LongestAccepted.count()))));
+    // Counted from the sending: the relay counts from later.
+    const std::int64_t Expiry = (Sent + Duration).time_since_epoch().count();
+    ExpiresAt.store(std::max(ExpiresAt.load(), Expiry),
+                    std::memory_order_release);
+    Level = std::min(Answer.value().level(), MaxLevel);
+    Held = true;
+    Lapsed = false;
+    Failures = 0;
+    NextRenewal =
+        Sent + between(Random, scaled(Duration, 0.5), scaled(Duration, 0.8));
+    return;
+  }
+  if (Answer && Answer.value().retry_after_ms() > 0) {
+    Failures = 0;
+    const auto Wait =
+        std::min(RetryAfterMax, milliseconds(Answer.value().retry_after_ms()));
+    NextRenewal = Now + between(Random, Wait, Wait + Wait / 4);
+    return;
+  }
+  const milliseconds Backoff =
+      std::min(RetryMax, RetryMin * (1U << std::min(Failures, 10U)));
+  ++Failures;
+  NextRenewal = Now + between(Random, Backoff / 2, Backoff);
+}
+
+milliseconds lease_holder::remaining(time_point Now) const {
+  const std::int64_t Left = ExpiresAt.load(std::memory_order_acquire) -
+                            Now.time_since_epoch().count();
+  return std::chrono::duration_cast<milliseconds>(
+      boot_clock::duration(std::max<std::int64_t>(0, Left)));
+}
+
+//-----------------------------------------------------------------------------
+// Relay side
+//-----------------------------------------------------------------------------
+
+lease_grantor::lease_grantor(grantor_options Options,
+                             state::random_engine &Random)
+    : Options(Options), Random(Random), Tokens(Options.Burst) {}
+
+void lease_grantor::onConfirmed(time_point Sent, std::uint64_t HeadVersion) {
+  if (EverConfirmed && Sent < ConfirmedAt)
+    return;
+  EverConfirmed = true;
+  ConfirmedAt = Sent;
+  ConfirmedVersion = std::max(ConfirmedVersion, HeadVersion);
+}
+
+bool lease_grantor::confirmed(time_point Now) const {
+  return EverConfirmed && Now <= ConfirmedAt + Options.ConfirmationBound;
+}
+
+std::string lease_grantor::refusal(time_point Now,
+                                   const control::renew_request &Request,
+                                   const grant_view &View) const {
+  const std::uint64_t Newest =
+      std::max({View.KnownVersion, View.ConfirmedVersion, ConfirmedVersion});
+  // A document that does not build leaves the whole fleet at the version
+  // before; those daemons still need leases.
+  const bool UpToDate = Request.applied_version() >= Newest ||
+                        (View.KnownRefused && View.KnownVersion == Newest &&
+                         Request.applied_version() >= View.AppliedVersion);
+  if (confirmed(Now)) {
+    if (!UpToDate)
+      return "version " + std::to_string(Request.applied_version()) +
+             " is behind " + std::to_string(Newest);
+    return "";
+  }
+  if (!View.PlatformDown)
+    return "no recent confirmation of the head";
+  if (!View.MajorityReachable)
+    return "platform is down and no majority of members is reachable";
+  if (!UpToDate || Request.applied_version() > View.AppliedVersion)
+    return "platform is down and a newer version than " +
+           std::to_string(std::min<std::uint64_t>(Request.applied_version(),
+                                                  View.AppliedVersion)) +
+           " is known";
+  return "";
+}
+
+std::uint32_t lease_grantor::nextLevel(time_point Now,
+                                       const control::renew_request &Request,
+                                       const grant_view &View) const {
+  auto Found = Memory.find(Request.instance());
+  const bool Known = Found != Memory.end();
+  const std::uint32_t Remembered =
+      std::min(MaxLevel, std::max(Known ? Found->second.Level : 0U,
+                                  View.RememberedLevel));
+  if (Request.first())
+    return View.LeftCleanly ? Remembered : Remembered / 2;
+  if (Known && Found->second.Incarnation == Request.incarnation() &&
+      Found->second.Ends != time_point{} && Now >= Found->second.Ends)
+    return std::min(Request.level(), Found->second.Level / 2);
+  const std::uint32_t Level = std::min(Request.level(), MaxLevel);
+  // A level above the cap would only make the halving slower.
+  return leaseDuration(Spec, Level) < Spec.Max ? Level + 1 : Level;
+}
+
+control::renew_response
+lease_grantor::onRequest(time_point Now, const control::renew_request &Request,
+                         const grant_view &View) {
+  control::renew_response Response;
+  Response.set_head_version(std::max(View.KnownVersion, ConfirmedVersion));
+  std::string Refusal = refusal(Now, Request, View);
+  if (!Refusal.empty()) {
+    Response.set_reason(std::move(Refusal));
+    Response.set_retry_after_ms(1000);
+    return Response;
+  }
+  Tokens = std::min(
+      Options.Burst,
+      Tokens + Options.GrantsPerSecond *
+                   std::chrono::duration<double>(Now - Filled).count());
+  Filled = Now;
+  if (Tokens < 1) {
+    // Each refused request reserves a place in time, so that the requests come
+    // back at the rate that can be met.
+    NextFree = std::max(NextFree, Now + milliseconds(200)) +
+               scaled(std::chrono::seconds(1), 1 / Options.GrantsPerSecond);
+    const auto Wait = std::chrono::duration_cast<milliseconds>(NextFree - Now);
+    Response.set_reason("grant rate exceeded");
+    Response.set_retry_after_ms(
+        static_cast<std::uint32_t>(std::min(Wait, RetryAfterMax).count()));
+    return Response;
+  }
+  Tokens -= 1;
+  const std::uint32_t Level = nextLevel(Now, Request, View);
+  const milliseconds Duration = leaseDuration(Spec, Level);
+  if (Memory.contains(Request.instance()) ||
+      Memory.size() < MaxRememberedLevels) {
+    memory &Entry = Memory[Request.instance()];
+    Changed = Changed || Entry.Level != Level;
+    Entry = {Request.incarnation(), Level, Now + Duration};
+  }
+  Response.set_granted(true);
+  Response.set_level(Level);
+  Response.set_duration_ms(static_cast<std::uint64_t>(Duration.count()));
+  return Response;
+}
+
+control::lease_levels lease_grantor::levels() const {
+  control::lease_levels Levels;
+  for (const auto &[Instance, Entry] : Memory) {
+    auto *Out = Levels.add_entries();
+    Out->set_instance(Instance);
+    Out->set_level(Entry.Level);
+  }
+  return Levels;
+}
+
+void lease_grantor::importLevels(const control::lease_levels &Levels) {
+  for (const auto &Entry : Levels.entries())
+    if (Memory.size() < MaxRememberedLevels &&
+        !Memory.contains(Entry.instance()))
+      Memory[Entry.instance()].Level = std::min(Entry.level(), MaxLevel);
+}
+
+bool lease_grantor::takeChanged() {
+  const bool Was = Changed;
+  Changed = false;
+  return Was;
+}
+
+//-----------------------------------------------------------------------------
+// Convergence
+//-----------------------------------------------------------------------------
+
+void convergence_tracker::onSpec(const state::lease_spec &Spec) {
+  LongestLease = std::max<milliseconds>(LongestLease, Spec.Max);
+}
+
+void convergence_tracker::onHead(time_point Now, const control::head &NewHead) {
+  if (NewHead.version() <= Head.version())
+    return;
+  Head = NewHead;
+  CountedFrom = Now;
+}
+
+void convergence_tracker::onMember(time_point Now,
+                                   const control::member &Member) {
+  if (Member.status() == control::MEMBER_LEFT) {
+    Members.erase(Member.instance());
+    return;
+  }
+  member_state &Entry = Members[Member.instance()];
+  Entry.Status = Member.status();
+  Entry.Incarnation = std::max(Entry.Incarnation, Member.incarnation());
+  if (halfCutOff())
+    CountedFrom = Now;
+}
+
+void convergence_tracker::onAcknowledgement(
+    time_point Now,
+    const control::report_request::acknowledgement &Acknowledgement) {
+  (void)Now;
+  auto Found = Members.find(Acknowledgement.instance());
+  if (Found == Members.end())
+    return;
+  member_state &Member = Found->second;
+  if (Acknowledgement.incarnation() < Member.AppliedIncarnation)
+    return;
+  if (Acknowledgement.incarnation() > Member.AppliedIncarnation)
+    Member.Applied = 0;
+  Member.AppliedIncarnation = Acknowledgement.incarnation();
+  Member.Applied = std::max(Member.Applied, Acknowledgement.applied_version());
+}
+
+bool convergence_tracker::acknowledged(const member_state &Member) const {
+  return Member.Applied >= Head.version() &&
+         Member.AppliedIncarnation >= Member.Incarnation;
+}
+
+bool convergence_tracker::halfCutOff() const {
+  const auto CutOff =
+      std::count_if(Members.begin(), Members.end(), [](const auto &Item) {
+        return Item.second.Status != control::MEMBER_ALIVE;
+      });
+  return 2 * static_cast<std::size_t>(CutOff) >= Members.size();
+}
+
+void convergence_tracker::onTick(time_point Now) {
+  // During a pause members may have been cut off and come back unseen.
+  if (halfCutOff() || Now - LastTick > Options.DetectionLag)
+    CountedFrom = Now;
+  LastTick = Now;
+}
+
+control::convergence convergence_tracker::statement(time_point Now,
+                                                    std::int64_t UnixMs) const {
+  control::convergence Statement;
+  Statement.set_version(Head.version());
+  Statement.set_members(static_cast<std::uint32_t>(Members.size()));
+  Statement.set_accepted_unix_ms(Head.accepted_unix_ms());
+  Statement.set_stated_unix_ms(UnixMs);
+  const bool LeasesOver =
+      LongestLease.count() > 0 &&
+      Now >= CountedFrom + Options.DetectionLag +
+                 scaled(LongestLease, 1 + Options.ClockDrift);
+  std::uint32_t Acknowledged = 0;
+  std::uint32_t Ended = 0;
+  for (const auto &[Instance, Member] : Members) {
+    if (acknowledged(Member))
+      ++Acknowledged;
+    // A member that is reachable renews its lease and must acknowledge.
+    else if (LeasesOver && Member.Status == control::MEMBER_DEAD)
+      ++Ended;
+    else if (Statement.waiting_for_size() < 20)
+      Statement.add_waiting_for(Instance);
+  }
+  Statement.set_acknowledged(Acknowledged);
+  Statement.set_lease_ended(Ended);
+  Statement.set_in_force_everywhere(Head.version() > 0 && !Members.empty() &&
+                                    !halfCutOff() &&
+                                    Now - LastTick <= Options.DetectionLag &&
+                                    Acknowledged + Ended == Members.size());
+  return Statement;
+}
+
+} // namespace hyssopledge::coordination
--- a/hyssopledge/coordination/membership.cpp
+++ b/hyssopledge/coordination/membership.cpp
@@ -125,11 +125,17 @@
 
   std::vector<outgoing_packet> Out;
   switch (Packet.kind()) {
-  case control::PACKET_PING:
-    if (Options.Self.status() != control::MEMBER_LEFT)
-      Out.push_back(finish(Now, packet(control::PACKET_ACK, Packet.sequence()),
-                           Packet.from_address(), Packet.from_instance()));
+  case control::PACKET_PING: {
+    if (Options.Self.status() == control::MEMBER_LEFT)
+      break;
+    control::gossip_packet Answer =
+        packet(control::PACKET_ACK, Packet.sequence());
+    if (Packet.known_version() < KnownVersion && Head.revision() != 0)
+      *Answer.add_records() = Head;
+    Out.push_back(finish(Now, std::move(Answer), Packet.from_address(),
+                         Packet.from_instance()));
     break;
+  }
   case control::PACKET_PING_REQUEST: {
     const control::member *Subject = Store.findMember(Packet.subject());
     if (Subject == nullptr || Relayed.size() >= MaxRelayedProbes)
@@ -160,6 +166,13 @@
   return Out;
 }
 
+std::vector<outgoing_packet> membership::ping(time_point Now,
+                                              const std::string &Address,
+                                              const std::string &Instance) {
+  return {
+      finish(Now, packet(control::PACKET_PING, ++Sequence), Address, Instance)};
+}
+
 std::vector<outgoing_packet> membership::notify(time_point Now,
                                                 unsigned Count) {
   std::vector<outgoing_packet> Out;
--- a/hyssopledge/coordination/membership.h
+++ b/hyssopledge/coordination/membership.h
@@ -61,6 +61,11 @@
     AppliedVersion = Applied;
     KnownVersion = Known;
   }
+  /// The record that a sender with an older known version gets in the answer.
+  void setHead(const control::gossip_record &Record) { Head = Record; }
+  std::vector<outgoing_packet> ping(state::time_point Now,
+                                    const std::string &Address,
+                                    const std::string &Instance);
   /// Sends the queued news to random live members at once.
   std::vector<outgoing_packet> notify(state::time_point Now, unsigned Count);
   /// Announces the departure; send the result and repeat it a few times.
@@ -114,6 +119,7 @@
   bool Started = false;
   std::uint64_t AppliedVersion = 0;
   std::uint64_t KnownVersion = 0;
+  control::gossip_record Head;
   std::uint64_t Sequence = 0;
   std::optional<probe> Probe;
   std::map<std::uint64_t, relayed_probe> Relayed; // by own sequence
--- a/hyssopledge/coordination/seat.cpp
+++ b/hyssopledge/coordination/seat.cpp
@@ -58,7 +58,12 @@
 
 void seat::onHolderSeen(time_point Now) {
   if (!Held && !Busy)
-    scheduleAttempt(Now, Options.Duration);
+    scheduleAttempt(Now, Options.Quiet);
+}
+
+void seat::onHolderGone(time_point Now) {
+  if (!Held && !Busy)
+    scheduleAttempt(Now, state::boot_clock::duration::zero());
 }
 
 seat_action seat::onTick(time_point Now) {
@@ -103,7 +108,7 @@
     }
     Failures = 0;
     Lease = 0;
-    scheduleAttempt(Now, Options.Duration);
+    scheduleAttempt(Now, 3 * Options.Duration);
     return {};
   }
   if (Lease != 0 && Now < LeaseSent + Options.Duration / 2)
@@ -134,7 +139,7 @@
   }
   if (!Result.value().Succeeded) {
     Failures = 0;
-    scheduleAttempt(Now, Options.Duration);
+    scheduleAttempt(Now, 3 * Options.Duration);
     return act(Now, seat_action::kind::Revoke);
   }
   ValidUntil = LeaseSent + Options.Duration;
--- a/hyssopledge/coordination/seat.h
+++ b/hyssopledge/coordination/seat.h
@@ -22,6 +22,8 @@
   std::string Key;                    // on the platform
   std::string Value;                  // written with the key, names the holder
   std::chrono::seconds Duration{10};  // of the platform lease
+  std::chrono::seconds Quiet{60};     // no attempt this long after a holder was
+                                      // heard of
   state::milliseconds RetryMin{1000}; // first back-off after a failure
   state::milliseconds RetryMax{60000};
   state::milliseconds SpreadPerCandidate{
@@ -49,9 +51,10 @@
   void setCandidates(std::size_t Count) { Candidates = Count; }
   /// A daemon that must not hold the seat gives it up and makes no attempts.
   void setEligible(bool Value) { Eligible = Value; }
-  /// Another daemon was heard of as holder; no attempt is made for the
-  /// duration of a lease.
+  /// Another daemon was heard of as holder; no attempt is made for some time.
   void onHolderSeen(state::time_point Now);
+  /// The holder has left or is dead; attempts start at once.
+  void onHolderGone(state::time_point Now);
 
   seat_action onTick(state::time_point Now);
   seat_action onRead(state::time_point Now,
--- /dev/null
+++ b/hyssopledge/transport/control_plane.cpp
@@ -0,0 +1,185 @@
+#include "hyssopledge/transport/control_plane.h"
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <utility>
+
+namespace hyssopledge::transport {
+
+using coordination::control_io;
+using state::time_point;
+
+namespace {
+
+constexpr unsigned TicksPerInterval = 5;
+constexpr unsigned LeaveAnnouncements = 3;
+
+std::int64_t unixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+control_plane_options withHint(control_plane_options Options) {
+  if (Options.IncarnationHint == 0)
+    Options.IncarnationHint = static_cast<std::uint64_t>(unixMs() / 1000);
+  return Options;
+}
+
+} // namespace
+
+/// The agent's way out.
+class control_plane::network final : public control_io {
+public:
+  network(control_rpc &Rpc, udp_socket &Socket, traffic_counters &Traffic)
+      : Rpc(Rpc), Socket(Socket), Traffic(Traffic) {}
+
+  void send(const std::string &Address,
+            const control::gossip_packet &Packet) override {
+    const std::string Bytes = Packet.SerializeAsString();
+    Traffic.Out.add(traffic_cause::Membership, Bytes.size());
+    Socket.send(Address, Bytes);
+  }
+  void fetch(const std::string &Address, const control::fetch_request &Request,
+             handler<control::fetch_response> Handler) override {
+    Rpc.fetch(Address, Request, std::move(Handler));
+  }
+  void sync(const std::string &Address, const control::sync_request &Request,
+            handler<control::sync_response> Handler) override {
+    Rpc.sync(Address, Request, std::move(Handler));
+  }
+  void renew(const std::string &Address, const control::renew_request &Request,
+             handler<control::renew_response> Handler) override {
+    Rpc.renew(Address, Request, std::move(Handler));
+  }
+  void report(const std::string &Address,
+              const control::report_request &Request,
+              handler<control::report_response> Handler) override {
+    Rpc.report(Address, Request, std::move(Handler));
+  }
+
+private:
+  control_rpc &Rpc;
+  udp_socket &Socket;
+  traffic_counters &Traffic;
+};
+
+control_plane::control_plane(boost::asio::io_context &Context,
+                             coordination::platform_store &Platform,
+                             control_plane_options NewOptions,
+                             control_plane_hooks NewHooks)
+    : Context(Context), Options(withHint(std::move(NewOptions))),
+      Hooks(std::move(NewHooks)), Rpc(Context, Traffic),
+      Socket(Context,
+             [this](std::string_view Datagram) { onDatagram(Datagram); }),
+      Timers(Context), Network(std::make_unique<network>(Rpc, Socket, Traffic)),
+      Agent(
+          Options, Hooks, *Network, Platform,
+          [] { return state::boot_clock::now(); }, unixMs) {}
+
+control_plane::~control_plane() { stop(); }
+
+template <class F> void control_plane::post(F Function) {
+  boost::asio::post(Context, [Watch = std::weak_ptr<int>(Alive),
+                              Function = std::move(Function)]() mutable {
+    if (!Watch.expired())
+      Function();
+  });
+}
+
+state::result<bool> control_plane::start() {
+  if (auto Opened = Socket.open(Options.GossipAddress); !Opened)
+    return Opened;
+  control_service_handlers Handlers;
+  Handlers.Fetch = [this](const auto &Request) {
+    return Agent.onFetch(Request);
+  };
+  Handlers.Sync = [this](const auto &Request) { return Agent.onSync(Request); };
+  Handlers.Renew = [this](const auto &Request) {
+    return Agent.onRenew(Request);
+  };
+  Handlers.Report = [this](const auto &Request) {
+    return Agent.onReport(Request);
+  };
+  if (auto Listening = Rpc.start(Options.ControlAddress, std::move(Handlers));
+      !Listening) {
+    Socket.close();
+    return Listening;
+  }
+  Agent.start();
+  Tick = Timers.every(Options.ProbeInterval / TicksPerInterval,
+                      [this](time_point Now) { onTick(Now); });
+  return true;
+}
+
+void control_plane::stop() {
+  Alive.reset();
+  Tick.reset();
+  LeaveTimer.reset();
+  Socket.close();
+  Rpc.stop();
+}
+
+void control_plane::onDatagram(std::string_view Datagram) {
+  Traffic.In.add(traffic_cause::Membership, Datagram.size());
+  control::gossip_packet Packet;
+  if (Packet.ParseFromArray(Datagram.data(), static_cast<int>(Datagram.size())))
+    Agent.onPacket(Packet);
+}
+
+void control_plane::onTick(time_point Now) {
+  Agent.onTick();
+  if (Now < NextStatus)
+    return;
+  NextStatus = Now + std::chrono::milliseconds(900);
+  std::string Fresh = Agent.status();
+  const std::lock_guard<std::mutex> Lock(StatusGuard);
+  Status = std::move(Fresh);
+}
+
+std::string control_plane::status() const {
+  const std::lock_guard<std::mutex> Lock(StatusGuard);
+  return Status;
+}
+
+void control_plane::leave(std::function<void()> Done) {
+  post([this, Done = std::move(Done)] {
+    announceLeave(LeaveAnnouncements, Done);
+  });
+}
+
+void control_plane::announceLeave(unsigned Left,
+                                  const std::function<void()> &Done) {
+  if (Left == 0) {
+    if (Done)
+      Done();
+    return;
+  }
+  Agent.leave();
+  LeaveTimer = Timers.after(Options.ProbeInterval / TicksPerInterval,
+                            [this, Left, Done](time_point) {
+                              // Keeps the handler's captures while it runs.
+                              const auto Current = std::move(LeaveTimer);
+                              announceLeave(Left - 1, Done);
+                            });
+}
+
+void control_plane::setTargets(std::vector<control::target> Targets) {
+  post([this, Targets = std::move(Targets)] { Agent.setTargets(Targets); });
+}
+
+void control_plane::publish(control::gossip_record Record) {
+  post([this, Record = std::move(Record)] {
+    auto Published = Agent.publish(Record);
+    if (!Published && Hooks.OnLog)
+      Hooks.OnLog("event=record_refused key=" + Record.key() + " reason=\"" +
+                  Published.error().text() + "\"");
+  });
+}
+
+void control_plane::sendEvidence(control::reporter_evidence Evidence) {
+  post(
+      [this, Evidence = std::move(Evidence)] { Agent.sendEvidence(Evidence); });
+}
+
+} // namespace hyssopledge::transport
