Give the control agent the coordinator's seat and summed reports

Relays compete for the coordinator's seat too, so that the number of candidates stays flat as the fleet grows. Reports of members are summed by evidence_aggregator, which drops reports that were sent again, and carry the directives in force at the member. The coordinator's tracker is renamed, since two classes had one name.

--- a/hyssopledge/coordination/control_agent.cpp
+++ b/hyssopledge/coordination/control_agent.cpp
@@ -45,21 +45,29 @@
       Members(membershipOptions(Options), Store, Random),
       Documents(distributionOptions(Options), Gate, Cache, Budget, Random,
                 [this](std::size_t Count) { return fetchPeers(Count); }),
-      Holder(Random), Grantor({}, Random) {
-  for (unsigned I = 0; I < RelaySeats; ++I) {
-    relay_seat &Seat = Seats[I];
-    Seat.Name = "relay/" + Options.DataCentre + "/" + std::to_string(I);
-    control::seat Value;
-    Value.set_name(Seat.Name);
-    Value.set_instance(Options.Instance);
-    Value.set_control_address(Options.ControlAddress);
-    seat_options SeatOptions;
-    SeatOptions.Key =
-        keys::relaySeat(Options.Environment, Options.DataCentre, I);
-    SeatOptions.Value = Value.SerializeAsString();
-    Seat.Seat = std::make_unique<seat>(SeatOptions, Random);
-    Seat.Runner = std::make_unique<seat_runner>(Platform, *Seat.Seat, Clock);
-  }
+      Holder(Random), Grantor({}, Random),
+      Aggregator(Options.Instance, static_cast<std::uint64_t>(WallClock())),
+      ReportSequence(static_cast<std::uint64_t>(WallClock())) {
+  for (unsigned I = 0; I < RelaySeats; ++I)
+    makeSeat(I, "relay/" + Options.DataCentre + "/" + std::to_string(I),
+             keys::relaySeat(Options.Environment, Options.DataCentre, I));
+  makeSeat(CoordinatorSeat, "coordinator",
+           keys::coordinatorSeat(Options.Environment));
+}
+
+void control_agent::makeSeat(unsigned Index, const std::string &Name,
+                             const std::string &Key) {
+  announced_seat &Seat = Seats[Index];
+  Seat.Name = Name;
+  control::seat Value;
+  Value.set_name(Name);
+  Value.set_instance(Options.Instance);
+  Value.set_control_address(Options.ControlAddress);
+  seat_options SeatOptions;
+  SeatOptions.Key = Key;
+  SeatOptions.Value = Value.SerializeAsString();
+  Seat.Seat = std::make_unique<seat>(SeatOptions, Random);
+  Seat.Runner = std::make_unique<seat_runner>(Platform, *Seat.Seat, Clock);
 }
 
 control_agent::~control_agent() = default;
@@ -90,7 +98,7 @@
 
 void control_agent::leave() {
   Leaving = true;
-  for (relay_seat &Seat : Seats) {
+  for (announced_seat &Seat : Seats) {
     Seat.Seat->setEligible(false);
     Seat.Runner->onTick(Clock());
   }
@@ -118,9 +126,9 @@
 
 bool control_agent::holdsRelaySeat() const {
   const time_point Now = Clock();
-  return std::any_of(Seats.begin(), Seats.end(), [Now](const auto &Seat) {
-    return Seat.Seat->heldAt(Now);
-  });
+  return std::any_of(
+      Seats.begin(), Seats.begin() + RelaySeats,
+      [Now](const auto &Seat) { return Seat.Seat->heldAt(Now); });
 }
 
 control::convergence control_agent::convergence() const {
@@ -145,7 +153,7 @@
   Json["floor"] =
       Gate.floor() ? nlohmann::json(*Gate.floor()) : nlohmann::json(nullptr);
   Json["seats"] = nlohmann::json::array();
-  for (const relay_seat &Seat : Seats)
+  for (const announced_seat &Seat : Seats)
     if (Seat.Seat->heldAt(Now))
       Json["seats"].push_back(Seat.Name);
   const control::convergence Statement = convergence();
@@ -215,7 +223,7 @@
           Member->status() != control::MEMBER_LEFT)
         continue;
       // A vacant seat need not wait until its holder's record has expired.
-      for (relay_seat &Seat : Seats) {
+      for (announced_seat &Seat : Seats) {
         const control::gossip_record *Record =
             Store.findRecord(control::RECORD_SEAT, Seat.Name);
         control::seat Value;
@@ -243,7 +251,7 @@
   }
   case control::RECORD_SEAT: {
     control::seat Value;
-    for (relay_seat &Seat : Seats)
+    for (announced_seat &Seat : Seats)
       if (Seat.Name == Record.key() &&
           Value.ParseFromString(Record.payload()) &&
           Value.instance() != Options.Instance)
@@ -356,7 +364,7 @@
 std::vector<std::string> control_agent::fetchPeers(std::size_t Count) {
   std::vector<std::string> Peers;
   // Relays of the own data centre get a new version first.
-  for (const relay_seat &Seat : Seats) {
+  for (const announced_seat &Seat : Seats) {
     const control::gossip_record *Record =
         Store.findRecord(control::RECORD_SEAT, Seat.Name);
     control::seat Value;
@@ -442,7 +450,8 @@
   if (Request.environment() != Options.Environment)
     return Response;
   Response.set_accepted(true);
-  if (Request.aggregated() || collector() == Options.Instance)
+  // Single reports are summed here first, also at the collector.
+  if (Request.aggregated())
     trackReport(Request);
   else
     addReport(Request);
--- a/hyssopledge/coordination/control_agent.h
+++ b/hyssopledge/coordination/control_agent.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "hyssopledge/coordination/distribution.h"
+#include "hyssopledge/coordination/evidence.h"
 #include "hyssopledge/coordination/gossip_store.h"
 #include "hyssopledge/coordination/lease_policy.h"
 #include "hyssopledge/coordination/membership.h"
@@ -75,6 +76,9 @@
   /// Reports that reach the coordinator's daemon, or a relay while no
   /// coordinator is known.
   std::function<void(const control::report_request &)> OnReport;
+  /// Reports of single members that reach this daemon as their relay, before
+  /// they are summed.
+  std::function<void(const control::report_request &)> OnMemberReport;
   /// One line of key=value for the log.
   std::function<void(const std::string &)> OnLog;
 };
@@ -101,6 +105,8 @@
   void setTargets(const std::vector<control::target> &Targets);
   state::result<bool> publish(const control::gossip_record &Record);
   void sendEvidence(const control::reporter_evidence &Evidence);
+  /// Directives in force here, for the next acknowledgement.
+  void setDirectives(std::vector<control::directive_position> Positions);
   /// Thread-safe. Whether new entry calls may be accepted at the time.
   bool leaseValid(state::time_point Now) const { return Holder.validAt(Now); }
   /// Thread-safe. Whether a configuration is in force.
@@ -112,6 +118,15 @@
   std::string status() const; // JSON
   control::convergence convergence() const;
   bool holdsRelaySeat() const;
+  /// The seat of the environment's coordinator; relays compete for it.
+  const seat &coordinatorSeat() const { return *Seats[CoordinatorSeat].Seat; }
+  std::uint64_t knownVersion() const { return Documents.knownVersion(); }
+  std::uint32_t leaseLevel() const { return Holder.level(); }
+  state::milliseconds leaseRemaining(state::time_point Now) const {
+    return Holder.remaining(Now);
+  }
+  /// Whether this daemon's last read of the platform failed.
+  bool platformDown() const { return PlatformDown; }
 
   //--- Events -----------------------------------------------------------------
   /// Call it about four times in a probe interval.
@@ -129,8 +144,9 @@
   const distribution &documents() const { return Documents; }
 
 private:
-  static constexpr unsigned RelaySeats = 2; // in each data centre
-  struct relay_seat {
+  static constexpr unsigned RelaySeats = 2;               // in each data centre
+  static constexpr unsigned CoordinatorSeat = RelaySeats; // position in Seats
+  struct announced_seat {
     std::string Name; // of the gossip record
     std::unique_ptr<seat> Seat;
     std::unique_ptr<seat_runner> Runner;
@@ -173,7 +189,10 @@
   void startWatch(std::int64_t Revision);
   void readSeats();
   void tickSeats(state::time_point Now);
-  void publishSeat(relay_seat &Seat, state::time_point Now);
+  void makeSeat(unsigned Index, const std::string &Name,
+                const std::string &Key);
+  void tickSeat(announced_seat &Seat, state::time_point Now);
+  void publishSeat(announced_seat &Seat, state::time_point Now);
   void tickLevels(state::time_point Now);
   void tickRenewal(state::time_point Now);
   void tickReports(state::time_point Now);
@@ -202,7 +221,7 @@
   lease_holder Holder;
   lease_grantor Grantor;
   convergence_tracker Tracker;
-  std::array<relay_seat, RelaySeats> Seats;
+  std::array<announced_seat, RelaySeats + 1> Seats; // relay, coordinator
   std::atomic<std::uint64_t> Applied{0};
 
   // Start
@@ -235,7 +254,9 @@
   state::time_point NextLevels{};
 
   // Reports
-  control::report_request Outbox;
+  evidence_aggregator Aggregator;   // at a relay
+  std::uint64_t ReportSequence = 0; // of this daemon's own reports
+  std::vector<control::directive_position> Directives;
   bool AcknowledgementDue = false;
   state::time_point NextAcknowledgement{};
   state::time_point NextReport{};
--- a/hyssopledge/coordination/control_agent_calls.cpp
+++ b/hyssopledge/coordination/control_agent_calls.cpp
@@ -19,7 +19,6 @@
 constexpr milliseconds ConfirmationLife{60000};
 constexpr milliseconds ReportInterval{1000};
 constexpr std::size_t MaxOutboxEvidence = 2048;
-constexpr std::size_t MaxOutboxAcknowledgements = 2048;
 constexpr unsigned StartSyncs = 3;
 
 } // namespace
@@ -281,24 +280,37 @@
     return;
   const std::size_t Candidates = dataCentreMembers();
   for (unsigned I = 0; I < RelaySeats; ++I) {
-    relay_seat &Seat = Seats[I];
+    announced_seat &Seat = Seats[I];
     // One daemon holds both seats only when it is alone.
     const bool HoldsOther = Seats[1 - I].Seat->heldAt(Now) &&
                             !Seat.Seat->heldAt(Now) && Candidates > 1;
     Seat.Seat->setCandidates(Candidates);
     Seat.Seat->setEligible(!HoldsOther);
-    Seat.Runner->onTick(Now);
-    const bool Held = Seat.Seat->heldAt(Now);
-    if (Held && (!Seat.WasHeld || Now >= Seat.NextRefresh))
-      publishSeat(Seat, Now);
-    if (Held != Seat.WasHeld)
-      log("event=seat name=" + Seat.Name + " held=" + (Held ? "1" : "0") +
-          " token=" + std::to_string(Seat.Seat->fencingToken()));
-    Seat.WasHeld = Held;
+    tickSeat(Seat, Now);
   }
+  // Only relays compete for the coordinator's seat, so that the number of
+  // candidates does not grow with the fleet.
+  std::set<std::string> DataCentres;
+  for (const auto &[Instance, Entry] : Store.members())
+    DataCentres.insert(Entry.Member.data_centre());
+  announced_seat &Coordinator = Seats[CoordinatorSeat];
+  Coordinator.Seat->setCandidates(RelaySeats * DataCentres.size());
+  Coordinator.Seat->setEligible(holdsRelaySeat());
+  tickSeat(Coordinator, Now);
 }
 
-void control_agent::publishSeat(relay_seat &Seat, time_point Now) {
+void control_agent::tickSeat(announced_seat &Seat, time_point Now) {
+  Seat.Runner->onTick(Now);
+  const bool Held = Seat.Seat->heldAt(Now);
+  if (Held && (!Seat.WasHeld || Now >= Seat.NextRefresh))
+    publishSeat(Seat, Now);
+  if (Held != Seat.WasHeld)
+    log("event=seat name=" + Seat.Name + " held=" + (Held ? "1" : "0") +
+        " token=" + std::to_string(Seat.Seat->fencingToken()));
+  Seat.WasHeld = Held;
+}
+
+void control_agent::publishSeat(announced_seat &Seat, time_point Now) {
   Seat.NextRefresh = Now + SeatRefresh;
   control::seat Value;
   Value.ParseFromString(Seat.Seat->options().Value);
@@ -442,14 +454,16 @@
     Evidence.push_back(NewEvidence);
 }
 
+void control_agent::setDirectives(
+    std::vector<control::directive_position> Positions) {
+  Directives = std::move(Positions);
+  AcknowledgementDue = true;
+  NextAcknowledgement = Clock() + between(Random, 0ms, 500ms);
+}
+
 void control_agent::addReport(const control::report_request &Report) {
-  for (const auto &Item : Report.acknowledgements())
-    if (static_cast<std::size_t>(Outbox.acknowledgements_size()) <
-        MaxOutboxAcknowledgements)
-      *Outbox.add_acknowledgements() = Item;
-  for (const auto &Item : Report.evidence())
-    if (static_cast<std::size_t>(Outbox.evidence_size()) < MaxOutboxEvidence)
-      *Outbox.add_evidence() = Item;
+  if (Aggregator.add(Report) && Hooks.OnMemberReport)
+    Hooks.OnMemberReport(Report);
 }
 
 void control_agent::trackReport(const control::report_request &Report) {
@@ -475,6 +489,8 @@
     Item->set_applied_version(appliedVersion());
     Item->set_lease_remaining_ms(
         static_cast<std::uint64_t>(Holder.remaining(Now).count()));
+    for (const control::directive_position &Position : Directives)
+      *Item->add_directives() = Position;
     // Lost acknowledgements and changes of the collector are repaired by
     // repetition.
     NextAcknowledgement = Now + between(Random, 5s + 200ms * Neighbours,
@@ -489,17 +505,21 @@
   }
   const std::string Collector = collector();
   const bool Relay = holdsRelaySeat();
+  Report.set_environment(Options.Environment);
+  Report.set_from_instance(Options.Instance);
   if (Relay || Collector == Options.Instance) {
-    addReport(Report);
-    std::swap(Report, Outbox);
-    Outbox.Clear();
-    Report.set_aggregated(true);
+    if (!Report.acknowledgements().empty() || !Report.evidence().empty()) {
+      Report.set_sequence(++ReportSequence);
+      addReport(Report);
+    }
+    Report = Aggregator.drain(Options.Environment)
+                 .value_or(control::report_request());
     NextReport = Now + between(Random, ReportInterval / 2, ReportInterval);
   }
   if (Report.acknowledgements().empty() && Report.evidence().empty())
     return;
-  Report.set_environment(Options.Environment);
-  Report.set_from_instance(Options.Instance);
+  if (!Report.aggregated())
+    Report.set_sequence(++ReportSequence);
   if (Collector == Options.Instance)
     return trackReport(Report);
   const std::string To =
--- a/hyssopledge/coordination/convergence.cpp
+++ b/hyssopledge/coordination/convergence.cpp
@@ -9,7 +9,7 @@
 using state::boot_clock;
 using state::time_point;
 
-void convergence_tracker::onHead(std::uint64_t NewVersion,
+void acknowledgement_tracker::onHead(std::uint64_t NewVersion,
                                  std::int64_t Accepted,
                                  const state::lease_spec &Spec,
                                  time_point Now) {
@@ -21,7 +21,7 @@
   HeadSeen = Now;
 }
 
-void convergence_tracker::onMembers(const std::vector<control::member> &Listed,
+void acknowledgement_tracker::onMembers(const std::vector<control::member> &Listed,
                                     time_point Now) {
   std::set<std::string> Names;
   for (const control::member &Member : Listed) {
@@ -48,7 +48,7 @@
   }
 }
 
-void convergence_tracker::onAcknowledgement(
+void acknowledgement_tracker::onAcknowledgement(
     const control::report_request::acknowledgement &Ack, time_point Now) {
   known_member &Known = Members[Ack.instance()];
   if (Ack.incarnation() < Known.Incarnation)
@@ -76,7 +76,7 @@
 }
 
 boot_clock::duration
-convergence_tracker::leaseDuration(std::uint32_t Level) const {
+acknowledgement_tracker::leaseDuration(std::uint32_t Level) const {
   const double Seconds =
       std::min(static_cast<double>(Lease.Max.count()),
                static_cast<double>(Lease.Initial.count()) *
@@ -85,7 +85,7 @@
       std::chrono::duration<double>(Seconds));
 }
 
-bool convergence_tracker::leaseEnded(const known_member &Member,
+bool acknowledgement_tracker::leaseEnded(const known_member &Member,
                                      time_point ChangedAt,
                                      time_point Now) const {
   const time_point Last =
@@ -97,12 +97,12 @@
   return Now >= std::max(Last, Member.LeaseEnds);
 }
 
-bool convergence_tracker::cutOff(const known_member &Member,
+bool acknowledgement_tracker::cutOff(const known_member &Member,
                                  time_point Now) const {
   return !Member.Heard || Now - Member.HeardAt > ReportAge;
 }
 
-bool convergence_tracker::halfCutOff(time_point Now) const {
+bool acknowledgement_tracker::halfCutOff(time_point Now) const {
   const auto Count =
       std::count_if(Members.begin(), Members.end(), [&](const auto &Entry) {
         return cutOff(Entry.second, Now);
@@ -110,12 +110,12 @@
   return 2 * static_cast<std::size_t>(Count) >= Members.size();
 }
 
-bool convergence_tracker::reportsCurrent(time_point Now) const {
+bool acknowledgement_tracker::reportsCurrent(time_point Now) const {
   return !Members.empty() && !halfCutOff(Now);
 }
 
 control::convergence
-convergence_tracker::state(time_point Now,
+acknowledgement_tracker::state(time_point Now,
                            std::chrono::milliseconds UnixNow) const {
   constexpr int MaxWaiting = 20;
   control::convergence Said;
@@ -141,7 +141,7 @@
   return Said;
 }
 
-bool convergence_tracker::directiveInForce(const std::string &Service,
+bool acknowledgement_tracker::directiveInForce(const std::string &Service,
                                            std::uint64_t Generation,
                                            std::uint64_t Step,
                                            time_point ChangedAt,
--- a/hyssopledge/coordination/convergence.h
+++ b/hyssopledge/coordination/convergence.h
@@ -22,7 +22,7 @@
 /// next level after the head was seen here, or when its last acknowledgement
 /// says, whatever is later. Of a member never heard of, the level is unknown
 /// and the cap counts.
-class convergence_tracker {
+class acknowledgement_tracker {
 public:
   /// Members that have not reported for this time are cut off. Far above the
   /// report interval of a large data centre.
--- a/hyssopledge/coordination/coordinator.h
+++ b/hyssopledge/coordination/coordinator.h
@@ -138,7 +138,7 @@
   std::vector<control::member> Members;
   electorate Electorate;
   vote_set Votes;
-  convergence_tracker Convergence;
+  acknowledgement_tracker Convergence;
   std::map<std::string, std::uint64_t> LastSequence; // of reports, by sender
   std::map<std::string, rollout> Rollouts;           // by service
 
--- a/hyssopledge/transport/control_plane.cpp
+++ b/hyssopledge/transport/control_plane.cpp
@@ -182,4 +182,11 @@
       [this, Evidence = std::move(Evidence)] { Agent.sendEvidence(Evidence); });
 }
 
+void control_plane::setDirectives(
+    std::vector<control::directive_position> Positions) {
+  post([this, Positions = std::move(Positions)]() mutable {
+    Agent.setDirectives(std::move(Positions));
+  });
+}
+
 } // namespace hyssopledge::transport
--- a/hyssopledge/transport/control_plane.h
+++ b/hyssopledge/transport/control_plane.h
@@ -48,6 +48,8 @@
   void publish(control::gossip_record Record);
   /// To a relay of the own data centre, which passes it on.
   void sendEvidence(control::reporter_evidence Evidence);
+  /// Directives in force here, for the next acknowledgement.
+  void setDirectives(std::vector<control::directive_position> Positions);
 
   /// Whether entry calls may be accepted at the time; wait-free.
   bool leaseValid(state::time_point Now) const { return Agent.leaseValid(Now); }
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -305,7 +305,7 @@
   };
   for (const said_case &Case : Cases) {
     CAPTURE(std::string(Case.Name));
-    convergence_tracker Tracker;
+    acknowledgement_tracker Tracker;
     state::time_point Now{std::chrono::hours(1)};
     Tracker.onHead(9, 1, {}, Now);
     std::vector<control::member> Members(Case.Applied.size());
@@ -327,7 +327,7 @@
 TEST_CASE("a cut-off member counts until its lease has surely ended") {
   // Initial lease 60 s, factor 2: renewed once more before the head, it may
   // last 120 s.
-  convergence_tracker Tracker;
+  acknowledgement_tracker Tracker;
   state::time_point Now{std::chrono::hours(1)};
   Tracker.onHead(9, 1, {}, Now);
   std::vector<control::member> Members(3);
