Move the head by compare-and-swap and read lost answers back

A history record is written with each head, so that a writer can tell who took its version even after the head has moved on. The etcd client runs its calls on one completion queue: with gRPC's callback calls the process aborted at times when a client was destroyed (2 of 40 runs of etcd_client_test).

--- a/hyssopledge/coordination/keys.cpp
+++ b/hyssopledge/coordination/keys.cpp
@@ -8,6 +8,13 @@
 
 std::string head(const std::string &Env) { return environment(Env) + "head"; }
 
+std::string history(const std::string &Env, std::uint64_t Version) {
+  // Padded, so that the keys sort by version.
+  const std::string Number = std::to_string(Version);
+  return environment(Env) + "history/" + std::string(20 - Number.size(), '0') +
+         Number;
+}
+
 std::string part(const std::string &Hash) { return "/hyssop/part/" + Hash; }
 
 std::string relaySeats(const std::string &Env) {
--- a/hyssopledge/transport/etcd_calls.h
+++ b/hyssopledge/transport/etcd_calls.h
@@ -59,11 +59,15 @@
     Calls.erase(Call);
     Idle.notify_all();
   }
-  /// Cancels the calls under way and waits for their ends. The channels go here
-  /// and not with the last reference, because gRPC ends its callback threads
-  /// with the last channel and a callback thread can't wait for itself.
+  /// Cancels the calls under way and waits for their ends.
   void close();
 
+  /// A tag for the queue; the function runs once, on the queue's thread, and
+  /// learns whether the operation went well.
+  static void *tag(std::function<void(bool)> Function) {
+    return new std::function<void(bool)>(std::move(Function));
+  }
+
   /// Calls Begin with a connected endpoint, or with none when every endpoint
   /// refuses or the deadline passes. A call that is not begun was surely not
   /// sent; gRPC itself does not tell.
@@ -97,10 +101,10 @@
   std::mutex Mutex;
   std::condition_variable Idle;
   std::set<outstanding *> Calls;
-  // gRPC connects only while a completion queue that waits for the channel is
-  // polled; this one serves whenReady.
-  grpc::CompletionQueue States;
-  std::thread StateThread;
+  // One queue and thread for all calls of the client. gRPC connects only while
+  // a queue that waits for the channel is polled.
+  grpc::CompletionQueue Queue;
+  std::thread QueueThread;
 };
 
 coordination::platform_entry toEntry(const mvccpb::KeyValue &Entry);
@@ -120,9 +124,10 @@
                          public std::enable_shared_from_this<
                              unary_call<Request, Response, Result>> {
 public:
-  using start_function = std::function<void(
-      etcd_core::endpoint &, grpc::ClientContext *, const Request *, Response *,
-      std::function<void(grpc::Status)>)>;
+  using start_function =
+      std::function<std::unique_ptr<grpc::ClientAsyncResponseReader<Response>>(
+          etcd_core::endpoint &, grpc::ClientContext *, const Request &,
+          grpc::CompletionQueue *)>;
   using convert_function = std::function<state::result<Result>(Response &)>;
 
   unary_call(std::shared_ptr<etcd_core> Owner, Request Message, bool Write,
@@ -150,13 +155,14 @@
     if (!Owner->add(this))
       return;
     Index = *Ready;
-    Start(Owner->Endpoints[Index], &Context, &Message, &Answer,
-          [Self = this->shared_from_this()](const grpc::Status &Status) {
-            Self->done(Status);
-          });
+    Reader = Start(Owner->Endpoints[Index], &Context, Message, &Owner->Queue);
+    Reader->StartCall();
+    Reader->Finish(&Answer, &Status,
+                   etcd_core::tag([Self = this->shared_from_this()](
+                                      bool /*Ok*/) { Self->done(); }));
   }
 
-  void done(const grpc::Status &Status) {
+  void done() {
     if (Status.ok()) {
       Owner->answer(Handler, Convert(Answer));
     } else {
@@ -178,19 +184,19 @@
   convert_function Convert;
   coordination::platform_store::handler<Result> Handler;
   grpc::ClientContext Context;
+  grpc::Status Status;
+  std::unique_ptr<grpc::ClientAsyncResponseReader<Response>> Reader;
   std::size_t Index = 0;
 };
 
 //-----------------------------------------------------------------------------
-// Streams; each keeps itself until OnDone
+// Streams
 //-----------------------------------------------------------------------------
 
 /// Sends one renewal on a stream of its own and reads one answer. A stream that
 /// is kept would hold a connection slot between renewals minutes apart.
 class keep_alive_call final
     : public outstanding,
-      public grpc::ClientBidiReactor<etcdserverpb::LeaseKeepAliveRequest,
-                                     etcdserverpb::LeaseKeepAliveResponse>,
       public std::enable_shared_from_this<keep_alive_call> {
 public:
   keep_alive_call(
@@ -211,15 +217,44 @@
 
   void cancel() override { Context.TryCancel(); }
 
-  void OnReadDone(bool Ok) override {
+private:
+  using result = state::result<std::chrono::seconds>;
+
+  void begin(std::optional<std::size_t> Ready) {
+    if (!Ready)
+      return Owner->answer(Handler, result(notSent()));
+    if (!Owner->add(this))
+      return;
+    Index = *Ready;
+    Stream = Owner->Endpoints[Index].Lease->PrepareAsyncLeaseKeepAlive(
+        &Context, &Owner->Queue);
+    Stream->StartCall(next(&keep_alive_call::started));
+  }
+
+  void *next(void (keep_alive_call::*Step)(bool)) {
+    return etcd_core::tag([Self = shared_from_this(), Step](bool Ok) {
+      (Self.get()->*Step)(Ok);
+    });
+  }
+  void started(bool Ok) {
+    if (Ok)
+      Stream->Write(Message, next(&keep_alive_call::written));
+    else
+      Stream->Finish(&Status, next(&keep_alive_call::finished));
+  }
+  void written(bool Ok) {
+    if (Ok)
+      Stream->Read(&Answer, next(&keep_alive_call::read));
+    else
+      Stream->Finish(&Status, next(&keep_alive_call::finished));
+  }
+  void read(bool Ok) {
     Answered = Ok;
     // The server keeps the stream open for more renewals.
-    if (Ok)
-      Context.TryCancel();
+    Context.TryCancel();
+    Stream->Finish(&Status, next(&keep_alive_call::finished));
   }
-
-  void OnDone(const grpc::Status &Status) override {
-    using result = state::result<std::chrono::seconds>;
+  void finished(bool /*Ok*/) {
     if (Answered && Answer.ttl() > 0) {
       Owner->answer(Handler, result(std::chrono::seconds(Answer.ttl())));
     } else if (Answered) {
@@ -232,30 +267,18 @@
           result(toFailure(Status, true, Owner->Endpoints[Index].Address)));
     }
     Owner->remove(this);
-    Self.reset();
   }
 
-private:
-  void begin(std::optional<std::size_t> Ready) {
-    if (!Ready)
-      return Owner->answer(Handler,
-                           state::result<std::chrono::seconds>(notSent()));
-    if (!Owner->add(this))
-      return;
-    Self = shared_from_this();
-    Index = *Ready;
-    Owner->Endpoints[Index].Lease->async()->LeaseKeepAlive(&Context, this);
-    StartWriteLast(&Message, grpc::WriteOptions());
-    StartRead(&Answer);
-    StartCall();
-  }
-
-  std::shared_ptr<keep_alive_call> Self;
   std::shared_ptr<etcd_core> Owner;
   coordination::platform_store::handler<std::chrono::seconds> Handler;
   grpc::ClientContext Context;
+  grpc::Status Status;
   etcdserverpb::LeaseKeepAliveRequest Message;
   etcdserverpb::LeaseKeepAliveResponse Answer;
+  std::unique_ptr<
+      grpc::ClientAsyncReaderWriter<etcdserverpb::LeaseKeepAliveRequest,
+                                    etcdserverpb::LeaseKeepAliveResponse>>
+      Stream;
   std::size_t Index = 0;
   bool Answered = false;
 };
@@ -285,11 +308,8 @@
   std::shared_ptr<watch_state> State;
 };
 
-class watch_call final
-    : public outstanding,
-      public grpc::ClientBidiReactor<etcdserverpb::WatchRequest,
-                                     etcdserverpb::WatchResponse>,
-      public std::enable_shared_from_this<watch_call> {
+class watch_call final : public outstanding,
+                         public std::enable_shared_from_this<watch_call> {
 public:
   watch_call(std::shared_ptr<etcd_core> Owner,
              std::shared_ptr<watch_state> State,
@@ -307,16 +327,51 @@
 
   void cancel() override { Context.TryCancel(); }
 
-  void OnReadDone(bool Ok) override {
-    if (!Ok)
+private:
+  void begin(std::optional<std::size_t> Ready) {
+    if (!Ready)
+      return post(notSent());
+    if (!Owner->add(this))
       return;
-    if (Answer.canceled()) {
+    {
+      const std::lock_guard Lock(State->Mutex);
+      if (State->Stopped)
+        return Owner->remove(this);
+      State->Context = &Context;
+    }
+    Index = *Ready;
+    Stream = Owner->Endpoints[Index].Watch->PrepareAsyncWatch(&Context,
+                                                              &Owner->Queue);
+    Stream->StartCall(next(&watch_call::started));
+  }
+
+  void *next(void (watch_call::*Step)(bool)) {
+    return etcd_core::tag([Self = shared_from_this(), Step](bool Ok) {
+      (Self.get()->*Step)(Ok);
+    });
+  }
+  void started(bool Ok) {
+    if (Ok)
+      Stream->Write(Message, next(&watch_call::written));
+    else
+      Stream->Finish(&Status, next(&watch_call::finished));
+  }
+  void written(bool Ok) {
+    if (Ok)
+      Stream->Read(&Answer, next(&watch_call::read));
+    else
+      Stream->Finish(&Status, next(&watch_call::finished));
+  }
+  void read(bool Ok) {
+    if (Ok && Answer.canceled()) {
       Reason = "the platform ended the watch: " + Answer.cancel_reason();
       if (Answer.compact_revision() > 0)
         Reason += " (events up to revision " +
                   std::to_string(Answer.compact_revision()) + " are gone)";
+    }
+    if (!Ok || Answer.canceled()) {
       Context.TryCancel();
-      return;
+      return Stream->Finish(&Status, next(&watch_call::finished));
     }
     if (Answer.events_size() > 0) {
       std::vector<coordination::platform_event> Events;
@@ -324,48 +379,23 @@
       for (const mvccpb::Event &Event : Answer.events())
         Events.push_back(
             {toEntry(Event.kv()), Event.type() == mvccpb::Event::DELETE});
-      post(state::result<std::vector<coordination::platform_event>>(
-          std::move(Events)));
+      post(std::move(Events));
     }
-    StartRead(&Answer);
+    Stream->Read(&Answer, next(&watch_call::read));
   }
-
-  void OnDone(const grpc::Status &Status) override {
+  void finished(bool /*Ok*/) {
     {
       const std::lock_guard Lock(State->Mutex);
       State->Context = nullptr;
     }
     if (!State->stopped()) {
       Owner->leave(Index);
-      post(state::result<std::vector<coordination::platform_event>>(
-          state::failure(state::errc::Unavailable,
-                         Owner->Endpoints[Index].Address + ": " +
-                             (Reason.empty()
-                                  ? "watch ended: " + Status.error_message()
-                                  : Reason))));
+      if (Reason.empty())
+        Reason = "the watch ended: " + Status.error_message();
+      post(state::failure(state::errc::Unavailable,
+                          Owner->Endpoints[Index].Address + ": " + Reason));
     }
     Owner->remove(this);
-    Self.reset();
-  }
-
-private:
-  void begin(std::optional<std::size_t> Ready) {
-    if (!Ready)
-      return post(notSent());
-    if (!Owner->add(this))
-      return;
-    {
-      const std::lock_guard Lock(State->Mutex);
-      if (State->Stopped)
-        return Owner->remove(this);
-      State->Context = &Context;
-    }
-    Self = shared_from_this();
-    Index = *Ready;
-    Owner->Endpoints[Index].Watch->async()->Watch(&Context, this);
-    StartWrite(&Message);
-    StartRead(&Answer);
-    StartCall();
   }
 
   void post(state::result<std::vector<coordination::platform_event>> Result) {
@@ -378,13 +408,16 @@
                   std::move(Result));
   }
 
-  std::shared_ptr<watch_call> Self;
   std::shared_ptr<etcd_core> Owner;
   std::shared_ptr<watch_state> State;
   etcdserverpb::WatchRequest Message;
   coordination::platform_store::watch_handler Handler;
   grpc::ClientContext Context;
+  grpc::Status Status;
   etcdserverpb::WatchResponse Answer;
+  std::unique_ptr<grpc::ClientAsyncReaderWriter<etcdserverpb::WatchRequest,
+                                                etcdserverpb::WatchResponse>>
+      Stream;
   std::string Reason;
   std::size_t Index = 0;
 };
--- a/hyssopledge/transport/etcd_client.cpp
+++ b/hyssopledge/transport/etcd_client.cpp
@@ -49,13 +49,13 @@
   Arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
   Arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
   Arguments.SetMaxReceiveMessageSize(MaxMessageBytes);
-  StateThread = std::thread([this] {
+  QueueThread = std::thread([this] {
     void *Tag = nullptr;
     bool Ok = false;
-    while (States.Next(&Tag, &Ok)) {
-      const std::unique_ptr<std::function<void()>> Function(
-          static_cast<std::function<void()> *>(Tag));
-      (*Function)();
+    while (Queue.Next(&Tag, &Ok)) {
+      const std::unique_ptr<std::function<void(bool)>> Function(
+          static_cast<std::function<void(bool)> *>(Tag));
+      (*Function)(Ok);
     }
   });
   for (const std::string &Address : Settings.Endpoints) {
@@ -74,8 +74,8 @@
     Call->cancel();
   Idle.wait(Lock, [this] { return Calls.empty(); });
   Lock.unlock();
-  States.Shutdown();
-  StateThread.join();
+  Queue.Shutdown();
+  QueueThread.join();
   Endpoints.clear();
 }
 
@@ -105,13 +105,13 @@
     return Begin(std::nullopt);
   }
   Endpoints[Index].Channel->NotifyOnStateChange(
-      State, std::min(Deadline, Now + MaxStateWait), &States,
-      new std::function<void()>(
-          [Self = shared_from_this(), Deadline, Begin = std::move(Begin)] {
-            boost::asio::post(Self->Context, [Self, Deadline, Begin] {
-              Self->whenReady(Deadline, Begin);
-            });
-          }));
+      State, std::min(Deadline, Now + MaxStateWait), &Queue,
+      tag([Self = shared_from_this(), Deadline,
+           Begin = std::move(Begin)](bool /*Changed*/) {
+        boost::asio::post(Self->Context, [Self, Deadline, Begin] {
+          Self->whenReady(Deadline, Begin);
+        });
+      }));
 }
 
 platform_entry toEntry(const mvccpb::KeyValue &Entry) {
@@ -175,10 +175,8 @@
   startUnary<platform_read, etcdserverpb::RangeRequest,
              etcdserverpb::RangeResponse>(
       Core, std::move(Message), false,
-      [](auto &Endpoint, auto *Context, auto *Request, auto *Response,
-         auto Done) {
-        Endpoint.Kv->async()->Range(Context, Request, Response,
-                                    std::move(Done));
+      [](auto &Endpoint, auto *Context, const auto &Request, auto *Queue) {
+        return Endpoint.Kv->PrepareAsyncRange(Context, Request, Queue);
       },
       [](etcdserverpb::RangeResponse &Response) {
         platform_read Read;
@@ -221,9 +219,8 @@
   startUnary<platform_txn_result, etcdserverpb::TxnRequest,
              etcdserverpb::TxnResponse>(
       Core, std::move(Message), true,
-      [](auto &Endpoint, auto *Context, auto *Request, auto *Response,
-         auto Done) {
-        Endpoint.Kv->async()->Txn(Context, Request, Response, std::move(Done));
+      [](auto &Endpoint, auto *Context, const auto &Request, auto *Queue) {
+        return Endpoint.Kv->PrepareAsyncTxn(Context, Request, Queue);
       },
       [](etcdserverpb::TxnResponse &Response) {
         return state::result<platform_txn_result>(platform_txn_result{
@@ -239,10 +236,8 @@
   startUnary<std::int64_t, etcdserverpb::LeaseGrantRequest,
              etcdserverpb::LeaseGrantResponse>(
       Core, Message, true,
-      [](auto &Endpoint, auto *Context, auto *Request, auto *Response,
-         auto Done) {
-        Endpoint.Lease->async()->LeaseGrant(Context, Request, Response,
-                                            std::move(Done));
+      [](auto &Endpoint, auto *Context, const auto &Request, auto *Queue) {
+        return Endpoint.Lease->PrepareAsyncLeaseGrant(Context, Request, Queue);
       },
       [](etcdserverpb::LeaseGrantResponse &Response)
           -> state::result<std::int64_t> {
@@ -264,10 +259,8 @@
   startUnary<bool, etcdserverpb::LeaseRevokeRequest,
              etcdserverpb::LeaseRevokeResponse>(
       Core, Message, true,
-      [](auto &Endpoint, auto *Context, auto *Request, auto *Response,
-         auto Done) {
-        Endpoint.Lease->async()->LeaseRevoke(Context, Request, Response,
-                                             std::move(Done));
+      [](auto &Endpoint, auto *Context, const auto &Request, auto *Queue) {
+        return Endpoint.Lease->PrepareAsyncLeaseRevoke(Context, Request, Queue);
       },
       [](etcdserverpb::LeaseRevokeResponse & /*Response*/) {
         return state::result<bool>(true);
--- /dev/null
+++ b/tests/head_writer_test.cpp
@@ -0,0 +1,369 @@
+/// \file
+/// Guards the order of versions: races have one winner, a lost answer is read
+/// back and never guessed, and an outage leaves nothing half done.
+#include "hyssopledge/coordination/head_writer.h"
+
+#include "hyssopledge/coordination/keys.h"
+#include "support/documents.h"
+#include "support/faulty_platform.h"
+#include "support/manual_clock.h"
+
+#include <doctest/doctest.h>
+#include <optional>
+
+using namespace hyssopledge;
+using namespace std::chrono_literals;
+using coordination::accepted_head;
+using coordination::head_writer;
+using state::errc;
+
+namespace {
+
+using outcome = std::optional<state::result<accepted_head>>;
+
+struct fixture {
+  explicit fixture(std::uint64_t Seed = 1) : Engine(Seed) {}
+
+  state::random_engine Engine;
+  tests::manual_timer_service Timers;
+  tests::fake_platform Fake{[this] { return Timers.now(); }};
+  tests::faulty_platform Platform{Fake, Engine};
+  head_writer Writer{Platform, Timers, Engine};
+  unsigned LastOperation = 0;
+
+  state::document document(std::uint32_t Slots,
+                           const char *Environment = "production") {
+    state::random_engine Fixed(5);
+    state::document Document = tests::drawDocument(Fixed, 3, 2);
+    Document.Environment = Environment;
+    Document.Services[1].Limits.Slots = Slots;
+    return Document;
+  }
+  void settle(outcome &Outcome) {
+    for (int I = 0; I < 200 && !Outcome; ++I) {
+      Fake.run();
+      Timers.advance(500ms);
+    }
+    REQUIRE(Outcome.has_value());
+  }
+  state::result<accepted_head> accept(const state::document &Document,
+                                      std::string Author = "ana") {
+    outcome Outcome;
+    Writer.accept(Document, std::move(Author),
+                  "op-" + std::to_string(++LastOperation), 86'400'000,
+                  [&](auto Result) { Outcome = std::move(Result); });
+    settle(Outcome);
+    return *Outcome;
+  }
+  state::result<accepted_head> promote(std::optional<std::uint64_t> Expected) {
+    outcome Outcome;
+    Writer.promote(Expected, "ben", "op-" + std::to_string(++LastOperation), 0,
+                   [&](auto Result) { Outcome = std::move(Result); });
+    settle(Outcome);
+    return *Outcome;
+  }
+  state::result<coordination::stored_document> read(const char *Environment) {
+    std::optional<state::result<coordination::stored_document>> Read;
+    coordination::readDocument(Fake, Environment,
+                               [&](auto Result) { Read = std::move(Result); });
+    Fake.run();
+    REQUIRE(Read.has_value());
+    return *Read;
+  }
+  /// Every head record that was ever in force, oldest first.
+  std::vector<control::head> history(const char *Environment = "production") {
+    std::vector<control::head> Heads;
+    auto Watch = Fake.watch(
+        coordination::keys::head(Environment), false, 1, [&](auto Events) {
+          for (const auto &Event : Events.value())
+            REQUIRE(Heads.emplace_back().ParseFromString(Event.Entry.Value));
+        });
+    Fake.run();
+    return Heads;
+  }
+};
+
+bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("head writer accepts a document and writes each part once") {
+  fixture F;
+  auto First = F.accept(F.document(1));
+  REQUIRE(First.has_value());
+  CHECK(First.value().Head.version() == 1);
+  CHECK(First.value().PartsWritten == 5); // environment, 3 services, manifest
+  CHECK(F.read("production").value().Document.Services[1].Limits.Slots == 1);
+
+  auto Second = F.accept(F.document(2));
+  CHECK(Second.value().Head.version() == 2);
+  CHECK(Second.value().PartsWritten == 2);
+
+  const auto Writes = F.Fake.Writes;
+  auto Same = F.accept(F.document(2));
+  CHECK_FALSE(Same.value().Changed);
+  CHECK(Same.value().Head.version() == 2);
+  CHECK(F.Fake.Writes == Writes);
+
+  // Back to the first content: a new version from parts that are there.
+  auto Back = F.accept(F.document(1));
+  CHECK(Back.value().Head.version() == 3);
+  CHECK(Back.value().PartsWritten == 0);
+  CHECK(F.read("production").value().Document.Services[1].Limits.Slots == 1);
+}
+
+TEST_CASE("head writer promotes the trial head and records where it is from") {
+  fixture F;
+  CHECK(F.promote({}).error().is(errc::NotFound));
+  F.accept(F.document(1, "trial")).value();
+  F.accept(F.document(2, "trial")).value();
+  CHECK(F.history().empty());
+  auto Wrong = F.promote(1);
+  CHECK(Wrong.error().is(errc::Conflict));
+  CHECK(contains(Wrong.error().Detail, "version 2 of trial"));
+  auto Promoted = F.promote(2);
+  REQUIRE(Promoted.has_value());
+  CHECK(Promoted.value().Head.version() == 1);
+  CHECK(Promoted.value().Head.promoted_from() == "trial@2");
+  CHECK(Promoted.value().PartsWritten == 2); // environment and manifest
+  CHECK(F.read("production").value().Document.Environment == "production");
+  CHECK_FALSE(F.promote({}).value().Changed);
+  F.Platform.DownFrom = 0;
+  CHECK(F.promote({}).error().is(errc::Unavailable));
+}
+
+TEST_CASE("head writer gives a race one winner and names it to the other") {
+  fixture F;
+  F.accept(F.document(1)).value();
+  outcome Ana;
+  outcome Ben;
+  F.Writer.accept(F.document(2), "ana", "a", 86'400'000,
+                  [&](auto Result) { Ana = std::move(Result); });
+  F.Writer.accept(F.document(3), "ben", "b", 172'800'000,
+                  [&](auto Result) { Ben = std::move(Result); });
+  F.settle(Ana);
+  F.settle(Ben);
+  REQUIRE(Ana->has_value() != Ben->has_value());
+  const bool AnaWon = Ana->has_value();
+  const state::failure &Failure = AnaWon ? Ben->error() : Ana->error();
+  CHECK(Failure.is(errc::Conflict));
+  CHECK(contains(Failure.Detail, "version 2 of production"));
+  CHECK(contains(Failure.Detail, AnaWon ? "\"ana\" at 1970-01-02T00:00:00Z"
+                                        : "\"ben\" at 1970-01-03T00:00:00Z"));
+}
+
+// Reads the head, reads the manifest, writes the parts, moves the head: each of
+// the four calls is met by each fault in turn.
+TEST_CASE("head writer survives a fault at every step") {
+  for (std::uint64_t Step = 1; Step <= 4; ++Step) {
+    CAPTURE(Step);
+    SUBCASE("down from a step on") {
+      fixture F;
+      F.accept(F.document(1)).value();
+      F.Platform.Calls = 0;
+      F.Platform.DownFrom = Step;
+      auto Refused = F.accept(F.document(2));
+      CHECK(Refused.error().is(errc::Unavailable));
+      CHECK(F.history().size() == 1);
+      CHECK(F.read("production").value().Document.Services[1].Limits.Slots ==
+            1);
+      F.Platform.DownFrom = ~0ULL;
+      CHECK(F.accept(F.document(2)).value().Head.version() == 2);
+    }
+    SUBCASE("answer lost after the effect") {
+      fixture F;
+      F.accept(F.document(1)).value();
+      F.Platform.Calls = 0;
+      F.Platform.LoseAnswerOf = Step;
+      CHECK(F.accept(F.document(2)).value().Head.version() == 2);
+      CHECK(F.history().size() == 2);
+    }
+    SUBCASE("answer lost, then down") {
+      fixture F;
+      F.accept(F.document(1)).value();
+      F.Platform.Calls = 0;
+      F.Platform.LoseAnswerOf = Step;
+      F.Platform.DownFrom = Step + 1;
+      auto Result = F.accept(F.document(2));
+      REQUIRE(Result.has_error());
+      // Only the move of the head, the fourth call, leaves a doubt.
+      CHECK(Result.error().is(Step == 4 ? errc::OutcomeUnknown
+                                        : errc::Unavailable));
+      if (Step == 4)
+        CHECK(contains(Result.error().Detail, "operation op-2"));
+    }
+  }
+}
+
+TEST_CASE("head writer cuts large documents into batches") {
+  fixture F;
+  state::random_engine Engine(3);
+  state::document Document = tests::drawDocument(Engine, 100, 20);
+  F.accept(Document).value();
+  CHECK(F.read("production").value().Document.Services.size() == 100);
+  CHECK(F.Fake.Writes == 3); // two batches of parts and the head
+}
+
+//-----------------------------------------------------------------------------
+// Seeded schedules with a history checker
+//-----------------------------------------------------------------------------
+
+namespace {
+
+struct reported {
+  std::string Operation;
+  outcome Outcome;
+};
+
+/// What is wrong with the reports of the writers, given every head that was in
+/// force. Empty: nothing.
+std::string violation(const std::vector<control::head> &History,
+                      const std::vector<reported> &Reports) {
+  std::map<std::string, unsigned> Times;
+  std::uint64_t Version = 0;
+  for (const control::head &Head : History) {
+    if (Head.version() != ++Version)
+      return "versions do not rise by one";
+    ++Times[Head.operation_id()];
+  }
+  for (const auto &[Operation, Count] : Times)
+    if (Count > 1)
+      return Operation + " took effect twice";
+  for (const reported &Report : Reports) {
+    if (!Report.Outcome)
+      return Report.Operation + " was never answered";
+    const unsigned Count = Times[Report.Operation];
+    if (Report.Outcome->has_value() && Count != 1)
+      return Report.Operation + " was reported as accepted and is not there";
+    if (Report.Outcome->has_error() &&
+        !Report.Outcome->error().is(errc::OutcomeUnknown) && Count != 0)
+      return Report.Operation + " was reported as refused and took effect";
+  }
+  return "";
+}
+
+/// Writers without a part of the mechanism, to show that the checker sees it.
+enum class variant { Sound, GuessesDone, GuessesRefused, RetriesOnNewHead };
+
+class guessing_writer : public std::enable_shared_from_this<guessing_writer> {
+public:
+  guessing_writer(coordination::platform_store &Platform, variant Kind,
+                  std::string Operation, head_writer::handler Handler)
+      : Platform(Platform), Kind(Kind), Operation(std::move(Operation)),
+        Handler(std::move(Handler)) {}
+
+  void start() {
+    const std::string Key = coordination::keys::head("production");
+    Platform.get(Key, false, [Self = shared_from_this(), Key](auto Read) {
+      control::head Head;
+      std::int64_t Revision = 0;
+      if (!Read.value().Entries.empty()) {
+        Revision = Read.value().Entries[0].ModRevision;
+        Head.ParseFromString(Read.value().Entries[0].Value);
+      }
+      Head.set_version(Head.version() + 1);
+      Head.set_operation_id(Self->Operation);
+      Self->Platform.commit(
+          {{{Key, Revision}}, {{Key, Head.SerializeAsString()}}, {}},
+          [Self, Head](auto Result) { Self->onMove(Head, Result); });
+    });
+  }
+
+private:
+  void onMove(const control::head &Head,
+              state::result<coordination::platform_txn_result> Result) {
+    const state::failure Refused(errc::Conflict, "");
+    if (Result.has_value())
+      return Result.value().Succeeded ? Handler(accepted_head{Head, true, 0})
+                                      : Handler(Refused);
+    if (Result.error().is(errc::Unavailable))
+      return Handler(Refused);
+    if (Kind == variant::GuessesDone)
+      Handler(accepted_head{Head, true, 0});
+    else if (Kind == variant::GuessesRefused)
+      Handler(Refused);
+    else
+      start();
+  }
+
+  coordination::platform_store &Platform;
+  variant Kind;
+  std::string Operation;
+  head_writer::handler Handler;
+};
+
+std::string runSchedule(variant Kind, std::uint64_t Seed) {
+  fixture F(Seed);
+  F.Platform.FaultShare = 0.4;
+  std::vector<reported> Reports;
+  const std::size_t Writers = 2 + state::uniformBelow(F.Engine, 2);
+  Reports.reserve(Writers * 3);
+  std::vector<std::size_t> Current(Writers, ~0ULL);
+  for (std::size_t Step = 0; Step < 3000; ++Step) {
+    const std::size_t Writer = state::uniformBelow(F.Engine, Writers);
+    const bool Idle =
+        Current[Writer] == ~0ULL || Reports[Current[Writer]].Outcome;
+    if (Idle && Reports.size() < Writers * 3) {
+      Current[Writer] = Reports.size();
+      reported &Report = Reports.emplace_back();
+      Report.Operation = "op-" + std::to_string(Reports.size());
+      const auto Handler = [&Report](auto Result) {
+        Report.Outcome = std::move(Result);
+      };
+      if (Kind == variant::Sound)
+        F.Writer.accept(
+            F.document(100 + static_cast<std::uint32_t>(Reports.size())), "ana",
+            Report.Operation, 0, Handler);
+      else
+        std::make_shared<guessing_writer>(F.Platform, Kind, Report.Operation,
+                                          Handler)
+            ->start();
+      continue;
+    }
+    switch (state::uniformBelow(F.Engine, 4)) {
+    case 0:
+      F.Timers.advance(100ms);
+      break;
+    case 1:
+      if (state::uniformBelow(F.Engine, 5) == 0)
+        F.Platform.runLate();
+      break;
+    default:
+      if (F.Fake.pending() > 0)
+        F.Fake.runOne(state::uniformBelow(F.Engine, F.Fake.pending()));
+    }
+  }
+  while (F.Platform.hasLate())
+    F.Platform.runLate();
+  return violation(F.history(), Reports);
+}
+
+} // namespace
+
+TEST_CASE("head writer keeps the order of versions in every schedule") {
+  for (std::uint64_t Seed = 1; Seed <= 400; ++Seed) {
+    CAPTURE(Seed);
+    REQUIRE(runSchedule(variant::Sound, Seed) == "");
+  }
+}
+
+TEST_CASE("history checker finds writers that guess after a lost answer") {
+  struct variant_case {
+    variant Kind;
+    const char *Violation;
+  };
+  const variant_case Cases[] = {
+      {variant::GuessesDone, "was reported as accepted and is not there"},
+      {variant::GuessesRefused, "was reported as refused and took effect"},
+      {variant::RetriesOnNewHead, "took effect twice"},
+  };
+  for (const variant_case &Case : Cases) {
+    CAPTURE(Case.Violation);
+    unsigned Found = 0;
+    for (std::uint64_t Seed = 1; Seed <= 50; ++Seed)
+      Found += contains(runSchedule(Case.Kind, Seed), Case.Violation) ? 1U : 0U;
+    CHECK(Found > 0);
+  }
+}
--- /dev/null
+++ b/tests/support/faulty_platform.h
@@ -0,0 +1,96 @@
+/// \file
+/// Draws faults in front of the in-memory platform: calls that fail, answers
+/// that get lost, writes that take effect after their time-out.
+#pragma once
+
+#include "hyssopledge/state/random.h"
+#include "support/fake_platform.h"
+
+#include <limits>
+
+namespace hyssopledge::tests {
+
+class faulty_platform final : public coordination::platform_store {
+public:
+  faulty_platform(fake_platform &Inner, state::random_engine &Engine)
+      : Inner(Inner), Engine(Engine) {}
+
+  double FaultShare = 0; // of the commits
+  std::uint64_t Calls = 0;
+  std::uint64_t DownFrom =
+      std::numeric_limits<std::uint64_t>::max(); // call from which on it is
+                                                 // down
+  std::uint64_t LoseAnswerOf =
+      std::numeric_limits<std::uint64_t>::max(); // number of a commit
+
+  void get(const std::string &Key, bool Prefix,
+           handler<coordination::platform_read> Handler) override {
+    if (++Calls >= DownFrom)
+      return refuse(Handler);
+    Inner.get(Key, Prefix, std::move(Handler));
+  }
+
+  void commit(coordination::platform_txn Txn,
+              handler<coordination::platform_txn_result> Handler) override {
+    if (++Calls >= DownFrom)
+      return refuse(Handler);
+    const state::failure Lost(state::errc::Timeout, "no answer");
+    if (Calls == LoseAnswerOf) {
+      ++Inner.LoseAnswers;
+    } else if (state::unitInterval(Engine()) < FaultShare) {
+      switch (state::uniformBelow(Engine, 4)) {
+      case 0:
+        return refuse(Handler);
+      case 1:
+        ++Inner.DropBefore;
+        break;
+      case 2:
+        ++Inner.LoseAnswers;
+        break;
+      default:
+        Handler(Lost);
+        Late.push_back(std::move(Txn));
+        return;
+      }
+    }
+    Inner.commit(std::move(Txn), std::move(Handler));
+  }
+
+  /// A write whose answer was lost takes effect now.
+  void runLate() {
+    if (Late.empty())
+      return;
+    coordination::platform_txn Txn = std::move(Late.front());
+    Late.erase(Late.begin());
+    Inner.commit(std::move(Txn), [](const auto &) {});
+  }
+  bool hasLate() const { return !Late.empty(); }
+
+  void grantLease(std::chrono::seconds Duration,
+                  handler<std::int64_t> Handler) override {
+    Inner.grantLease(Duration, std::move(Handler));
+  }
+  void keepAlive(std::int64_t Lease,
+                 handler<std::chrono::seconds> Handler) override {
+    Inner.keepAlive(Lease, std::move(Handler));
+  }
+  void revokeLease(std::int64_t Lease, handler<bool> Handler) override {
+    Inner.revokeLease(Lease, std::move(Handler));
+  }
+  std::unique_ptr<coordination::platform_watch>
+  watch(const std::string &Key, bool Prefix, std::int64_t StartRevision,
+        watch_handler Handler) override {
+    return Inner.watch(Key, Prefix, StartRevision, std::move(Handler));
+  }
+
+private:
+  template <class T> void refuse(const handler<T> &Handler) {
+    Handler(state::failure(state::errc::Unavailable, "platform is down"));
+  }
+
+  fake_platform &Inner;
+  state::random_engine &Engine;
+  std::vector<coordination::platform_txn> Late;
+};
+
+} // namespace hyssopledge::tests
