Let relays find groups that formed apart at the first start

Cause: daemons that started together read the relay seats before any was taken, so each data centre formed a group of its own and never heard of the others. Seen with three daemons of two data centres started at once: 2 and 1 members after 4 s. Ruled out: lost datagrams (the groups had no addresses of each other). Relays now read the seats again, after 2 to 4 s at first and then every 15 to 30 s, and sync with holders that are not members.

--- a/hyssopledge/coordination/control_agent.h
+++ b/hyssopledge/coordination/control_agent.h
@@ -201,6 +201,7 @@
   std::optional<std::string> relayAddress();
   std::string collector() const;
   std::size_t dataCentreMembers() const;
+  bool isAlive(const std::string &Instance) const;
   void fetchFromPlatform(std::uint64_t Fetch,
                          const std::vector<std::string> &Hashes);
 
--- a/hyssopledge/coordination/control_agent_calls.cpp
+++ b/hyssopledge/coordination/control_agent_calls.cpp
@@ -110,7 +110,9 @@
 void control_agent::tickPlatform(time_point Now) {
   const bool Relay = holdsRelaySeat();
   Documents.setRelay(Relay);
-  if (!SeatsRead && Now >= NextSeatsRead)
+  // Daemons that started at one time may have read the seats before any was
+  // taken, and formed groups that don't know each other; relays find them.
+  if ((!SeatsRead || Relay) && Now >= NextSeatsRead)
     readSeats();
   if (Relay != WatchWanted) {
     WatchWanted = Relay;
@@ -224,12 +226,21 @@
                    return;
                  }
                  Budget.onSuccess();
+                 const bool First = !SeatsRead;
                  SeatsRead = true;
+                 // Soon after the start groups are likely, later they are rare.
+                 NextSeatsRead =
+                     At + (At < StartedAt + 30s ? between(Random, 2s, 4s)
+                                                : between(Random, 15s, 30s));
                  for (const platform_entry &Entry : Read.value().Entries) {
                    control::seat Value;
-                   if (Value.ParseFromString(Entry.Value) &&
-                       Value.instance() != Options.Instance)
+                   if (!Value.ParseFromString(Entry.Value) ||
+                       Value.instance() == Options.Instance)
+                     continue;
+                   if (First)
                      Contacts.push_back(Value.control_address());
+                   else if (!isAlive(Value.instance()))
+                     syncWith(Value.control_address());
                  }
                  std::shuffle(Contacts.begin(), Contacts.end(), Random);
                }));
@@ -267,6 +278,11 @@
 // Seats and lease levels
 //-----------------------------------------------------------------------------
 
+bool control_agent::isAlive(const std::string &Instance) const {
+  const control::member *Member = Store.findMember(Instance);
+  return Member != nullptr && Member->status() == control::MEMBER_ALIVE;
+}
+
 std::size_t control_agent::dataCentreMembers() const {
   return static_cast<std::size_t>(std::count_if(
       Store.members().begin(), Store.members().end(), [this](const auto &Item) {
--- a/hyssopledge/state/poison.cpp
+++ b/hyssopledge/state/poison.cpp
@@ -100,4 +100,11 @@
   Suspects.erase(Oldest);
 }
 
+std::set<std::uint64_t> poison_detector::suspects() const {
+  std::set<std::uint64_t> Fingerprints;
+  for (const auto &[Fingerprint, Suspect] : Suspects)
+    Fingerprints.insert(Fingerprint);
+  return Fingerprints;
+}
+
 } // namespace hyssopledge::state
--- a/hyssopledge/state/poison.h
+++ b/hyssopledge/state/poison.h
@@ -47,6 +47,8 @@
   void addSuccess(std::uint64_t Fingerprint);
   bool isPoison(std::uint64_t Fingerprint, time_point Now) const;
   std::set<std::uint64_t> poison(time_point Now) const;
+  /// Every fingerprint that was sighted, poison or not.
+  std::set<std::uint64_t> suspects() const;
   void expire(time_point Now);
 
 private:
