--- /dev/null
+++ b/tests/data_plane_faults_test.cpp
@@ -0,0 +1,419 @@
+/// \file
+/// Guards what the data plane says and does when daemons, upstreams or callers
+/// go away in the middle of a call.
+#include <doctest/doctest.h>
+
+#include "support/http_fixture.h"
+
+#include "hyssopledge/protocol/call_headers.h"
+
+using namespace hyssopledge;
+using namespace hyssopledge::tests;
+namespace headers = protocol::call_headers;
+
+namespace {
+
+std::string field(const http_response &Response, const char *Name) {
+  return std::string(transport::fieldValue(Response, Name));
+}
+
+http_request booking(const std::string &Key = "") {
+  http_request Request = makeRequest(http::verb::post, "/book", "seat 7");
+  if (!Key.empty())
+    Request.set(headers::IdempotencyKey, Key);
+  return Request;
+}
+
+/// An address on which nobody listens.
+std::string closedAddress() {
+  asio::io_context Context;
+  const tcp::acceptor Acceptor(
+      Context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  return transport::formatEndpoint(Acceptor.local_endpoint());
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// Not run
+//-----------------------------------------------------------------------------
+
+TEST_CASE("data plane: a request that was not run goes to another target") {
+  // A booking may be sent again only because "not run" is true.
+  struct target_case {
+    const char *Name;
+    std::function<std::string(test_daemon &, scripted_upstream &)> Address;
+  };
+  const target_case Cases[] = {
+      {"daemon gone", [](auto &, auto &) { return closedAddress(); }},
+      {"daemon without upstream",
+       [](test_daemon &D, auto &) { return D.address(); }},
+      {"upstream gone",
+       [](test_daemon &D, auto &) {
+         D.announce(closedAddress());
+         return D.address();
+       }},
+      {"upstream sheds",
+       [](test_daemon &D, scripted_upstream &Shedding) {
+         D.announce(Shedding.address());
+         return D.address();
+       }},
+  };
+  for (const target_case &Case : Cases) {
+    CAPTURE(Case.Name);
+    scripted_upstream Shedding([](upstream_connection &Connection) {
+      while (Connection.read())
+        Connection.answer("", 503, "x-hyssop-outcome: not-run\r\n");
+    });
+    std::atomic<unsigned> Runs{0};
+    one_hop Hop([&](upstream_connection &Connection) {
+      while (Connection.read()) {
+        ++Runs;
+        Connection.answer("booked");
+      }
+    });
+    test_daemon Bad("target-bad");
+    Bad.start();
+    Bad.publish(testView({}));
+    Hop.Entry.Picker = state::makeRoundRobinPicker();
+    Hop.Entry.stop();
+    Hop.Entry.start();
+    Hop.Entry.publish(
+        testView({Case.Address(Bad, Shedding), Hop.Target.address()}));
+    for (unsigned I = 1; I <= 4; ++I) {
+      const http_response Response = Hop.call(booking());
+      CHECK(Response.result_int() == 200);
+      CHECK(Response.body() == "booked");
+      CHECK(Runs == I);
+    }
+    // No target is left: the answer is a true refusal.
+    Hop.Entry.publish(testView({Case.Address(Bad, Shedding)}));
+    const http_response Refused = Hop.call(booking());
+    CHECK(Refused.result_int() == 503);
+    CHECK(field(Refused, headers::Outcome) == "not-run");
+    CHECK(Runs == 4);
+  }
+}
+
+TEST_CASE("data plane: a plain 503 of the upstream ran and is not repeated") {
+  std::atomic<unsigned> Runs{0};
+  one_hop Hop([&](upstream_connection &Connection) {
+    while (Connection.read()) {
+      ++Runs;
+      Connection.answer("busy", 503);
+    }
+  });
+  const http_response Response = Hop.call(booking());
+  CHECK(Response.result_int() == 503);
+  CHECK(Response.body() == "busy");
+  CHECK(field(Response, headers::Outcome) == "ran");
+  CHECK(Runs == 1);
+  CHECK(Hop.Entry.Attempts.take()->Outcome == state::attempt_outcome::Failed);
+}
+
+TEST_CASE("data plane: not run after an attempt that may have run is unknown") {
+  // Guards promise 6: the first attempt of the idempotent call is cut, the
+  // second is refused; "not run" would be false for the call.
+  one_hop Hop([](upstream_connection &Connection) { Connection.read(); });
+  Hop.Entry.publish(testView({Hop.Target.address(), closedAddress()}));
+  for (unsigned I = 0; I < 10; ++I) {
+    const http_response Response =
+        Hop.call(makeRequest(http::verb::get, "/look"));
+    CHECK(field(Response, headers::Outcome) == "unknown");
+  }
+}
+
+//-----------------------------------------------------------------------------
+// Stale connections
+//-----------------------------------------------------------------------------
+
+TEST_CASE("data plane: a stale pooled connection is not used") {
+  // The upstream closes each connection after its answer without saying so. A
+  // booking on such a connection would be unknown; sent again it could run
+  // twice.
+  std::atomic<unsigned> Runs{0};
+  inbox<bool> Closed;
+  one_hop Hop([&](upstream_connection &Connection) {
+    if (!Connection.read())
+      return;
+    ++Runs;
+    Connection.answer("booked");
+    Connection.close();
+    Closed.put(true);
+  });
+  blocking_caller Caller(Hop.Entry.address());
+  for (unsigned I = 1; I <= 5; ++I) {
+    const http_response Response = Caller.call(booking());
+    CHECK(Response.result_int() == 200);
+    CHECK(Runs == I);
+    REQUIRE(Closed.take());
+  }
+}
+
+TEST_CASE("data plane: a close while the request is written is unknown") {
+  // The second request on the connection is read, and the connection closed
+  // without an answer.
+  std::atomic<unsigned> Runs{0};
+  one_hop Hop([&](upstream_connection &Connection) {
+    if (!Connection.read())
+      return;
+    ++Runs;
+    Connection.answer("booked");
+    if (Connection.read())
+      ++Runs;
+  });
+  // One caller connection stays on one loop and its pool.
+  blocking_caller Caller(Hop.Entry.address());
+  CHECK(Caller.call(booking()).result_int() == 200);
+  const http_response Second = Caller.call(booking());
+  CHECK(Second.result_int() == 502);
+  CHECK(field(Second, headers::Outcome) == "unknown");
+  CHECK(Runs == 2);
+}
+
+//-----------------------------------------------------------------------------
+// Callers that go away
+//-----------------------------------------------------------------------------
+
+TEST_CASE("data plane: a caller that goes away cancels the upstream's work") {
+  inbox<bool> Received;
+  inbox<bool> Cancelled;
+  one_hop Hop([&](upstream_connection &Connection) {
+    if (!Connection.read())
+      return;
+    Received.put(true);
+    Cancelled.put(Connection.awaitClose());
+  });
+  blocking_caller Caller(Hop.Entry.address());
+  Caller.send(booking());
+  REQUIRE(Received.take());
+  Caller.close();
+  CHECK(Cancelled.take() == true);
+  const auto Attempt = Hop.Entry.Attempts.take();
+  REQUIRE(Attempt);
+  CHECK(Attempt->Outcome == state::attempt_outcome::Cancelled);
+}
+
+TEST_CASE("data plane: a caller that goes away leaves the queue") {
+  inbox<bool> Received;
+  gate Answer;
+  std::atomic<unsigned> Runs{0};
+  one_hop Hop([&](upstream_connection &Connection) {
+    while (Connection.read()) {
+      ++Runs;
+      Received.put(true);
+      Answer.wait();
+      Connection.answer("booked");
+    }
+  });
+  Hop.Target.setSlots(1);
+  blocking_caller First(Hop.Entry.address());
+  First.send(booking());
+  REQUIRE(Received.take());
+  blocking_caller Second(Hop.Entry.address());
+  Second.send(booking());
+  REQUIRE(Hop.Target.awaitQueued(1));
+  Second.close();
+  REQUIRE(Hop.Target.awaitQueued(0));
+  Answer.open();
+  CHECK(First.receive().body() == "booked");
+  CHECK(Hop.call(booking()).body() == "booked");
+  CHECK(Runs == 2);
+}
+
+//-----------------------------------------------------------------------------
+// Nested calls
+//-----------------------------------------------------------------------------
+
+TEST_CASE("data plane: a nested call keeps to the limits of its parent") {
+  std::string EntryAddress;
+  inbox<http_request> Inner;
+  one_hop Hop([&](upstream_connection &Connection) {
+    while (const auto Request = Connection.read()) {
+      if (Request->target() == "/look/inner") {
+        Inner.put(*Request);
+        Connection.answer("inner");
+        continue;
+      }
+      http_request Nested = makeRequest(http::verb::get, "/look/inner");
+      for (const char *Name : {headers::TraceParent, headers::DeadlineMs,
+                               headers::AttemptsLeft, headers::Depth})
+        Nested.set(Name, std::string(transport::fieldValue(*Request, Name)));
+      Connection.answer(callOnce(EntryAddress, Nested).body());
+    }
+  });
+  EntryAddress = Hop.Target.address();
+  Hop.Target.publish(testView({Hop.Target.address()}));
+  http_request Outer = makeRequest(http::verb::get, "/look/outer");
+  Outer.set(headers::DeadlineMs, "5000");
+  Outer.set(headers::AttemptsLeft, "2");
+  Outer.set(headers::Depth, "3");
+  CHECK(Hop.call(Outer).body() == "inner");
+  const auto Seen = Inner.take();
+  REQUIRE(Seen);
+  CHECK(transport::fieldNumber(*Seen, headers::Depth) == 5);
+  CHECK(transport::fieldNumber(*Seen, headers::AttemptsLeft) == 2);
+  const auto Left = transport::fieldNumber(*Seen, headers::DeadlineMs);
+  REQUIRE(Left);
+  CHECK(*Left <= 5000); // the route alone would give 10 s
+  CHECK(*Left > 0);
+}
+
+//-----------------------------------------------------------------------------
+// Idempotency keys
+//-----------------------------------------------------------------------------
+
+TEST_CASE("data plane: a repeated key runs once") {
+  std::atomic<unsigned> Runs{0};
+  inbox<bool> Received;
+  gate Answer;
+  one_hop Hop([&](upstream_connection &Connection) {
+    while (const auto Request = Connection.read()) {
+      const bool Slow =
+          transport::fieldValue(*Request, headers::IdempotencyKey) == "slow";
+      ++Runs;
+      if (Slow) {
+        Received.put(true);
+        Answer.wait();
+      }
+      Connection.answer("booked " + std::to_string(Runs), 201);
+    }
+  });
+  const http_response First = Hop.call(booking("a"));
+  const http_response Again = Hop.call(booking("a"));
+  CHECK(First.body() == "booked 1");
+  CHECK(Again.body() == "booked 1");
+  CHECK(Again.result_int() == 201);
+  CHECK(Runs == 1);
+
+  http_request Other = booking("a");
+  Other.body() = "seat 8";
+  Other.prepare_payload();
+  const http_response Conflict = Hop.call(Other);
+  CHECK(Conflict.result_int() == 422);
+  CHECK(field(Conflict, headers::Outcome) == "not-run");
+
+  blocking_caller Slow(Hop.Entry.address());
+  Slow.send(booking("slow"));
+  REQUIRE(Received.take());
+  const http_response Crossing = Hop.call(booking("slow"));
+  CHECK(Crossing.result_int() == 409);
+  CHECK(field(Crossing, headers::Outcome) == "unknown");
+  CHECK(field(Crossing, headers::Reason) == "in-progress");
+  Answer.open();
+  CHECK(Slow.receive().body() == "booked 2");
+  CHECK(Runs == 2);
+}
+
+TEST_CASE("data plane: a key whose request was cut stays unknown") {
+  std::atomic<unsigned> Runs{0};
+  one_hop Hop([&](upstream_connection &Connection) {
+    if (Connection.read())
+      ++Runs;
+  });
+  CHECK(field(Hop.call(booking("a")), headers::Reason) == "upstream-cut");
+  const http_response Again = Hop.call(booking("a"));
+  CHECK(Again.result_int() == 409);
+  CHECK(field(Again, headers::Outcome) == "unknown");
+  CHECK(Runs == 1);
+}
+
+//-----------------------------------------------------------------------------
+// Crashes
+//-----------------------------------------------------------------------------
+
+TEST_CASE("data plane: a crash names the requests that were in flight") {
+  inbox<bool> Received;
+  gate End;
+  one_hop Hop([&](upstream_connection &Connection) {
+    while (Connection.read()) {
+      Received.put(true);
+      End.wait();
+      return;
+    }
+  });
+  blocking_caller First(Hop.Entry.address());
+  blocking_caller Second(Hop.Entry.address());
+  First.send(makeRequest(http::verb::post, "/look", "1"));
+  REQUIRE(Received.take());
+  Second.send(makeRequest(http::verb::post, "/book", "2"));
+  REQUIRE(Received.take());
+  // The second connection is seen cut after the crash was found by the first.
+  Hop.Upstream.stopListening();
+  Hop.Upstream.closeConnection(0);
+  const auto Sightings = Hop.Target.Crashes.take();
+  REQUIRE(Sightings);
+  REQUIRE(Sightings->size() == 2);
+  for (const state::crash_sighting &Sighting : *Sightings) {
+    CHECK(Sighting.Instance == "target-0");
+    CHECK(Sighting.InFlight == 2);
+    CHECK((Sighting.Fingerprint ==
+               state::requestFingerprint("POST", "/look", "1") ||
+           Sighting.Fingerprint ==
+               state::requestFingerprint("POST", "/book", "2")));
+  }
+  Hop.Upstream.closeConnection(1);
+  const http_response Booking = Second.receive();
+  CHECK(field(Booking, headers::Outcome) == "unknown");
+  CHECK(field(Booking, headers::Reason) == "upstream-crashed");
+  // One crash is reported once, whichever connection shows it first.
+  CHECK(!Hop.Target.Crashes.take(std::chrono::milliseconds(50)));
+  End.open();
+}
+
+TEST_CASE("data plane: a closed connection alone is no crash") {
+  one_hop Hop([](upstream_connection &Connection) { Connection.read(); });
+  CHECK(field(Hop.call(booking()), headers::Reason) == "upstream-cut");
+  CHECK(!Hop.Target.Crashes.take(std::chrono::milliseconds(50)));
+}
+
+//-----------------------------------------------------------------------------
+// Drain
+//-----------------------------------------------------------------------------
+
+TEST_CASE("data plane: a drain cuts no admitted request") {
+  // Guards promise 9, for queued requests and nested calls as well.
+  inbox<bool> Received;
+  gate Answer;
+  std::string OwnDaemon;
+  one_hop Hop([&](upstream_connection &Connection) {
+    while (const auto Request = Connection.read()) {
+      if (Request->target() == "/look/inner") {
+        Connection.answer("inner");
+        continue;
+      }
+      Received.put(true);
+      Answer.wait();
+      http_request Nested = makeRequest(http::verb::get, "/look/inner");
+      Nested.set(headers::Depth, "1");
+      Connection.answer(callOnce(OwnDaemon, Nested).body());
+    }
+  });
+  // The nested call goes to another daemon, since the own one takes no new
+  // target work.
+  test_daemon Other("target-1");
+  Other.start();
+  Other.publish(testView({}));
+  Other.announce(Hop.Upstream.address());
+  OwnDaemon = Hop.Target.address();
+  Hop.Target.publish(testView({Other.address()}));
+
+  blocking_caller Caller(Hop.Entry.address());
+  Caller.send(booking());
+  REQUIRE(Received.take());
+  gate Drained;
+  Hop.Target.Plane->drain([&] { Drained.open(); });
+  // New work is refused as not run, on both sides.
+  http_response Refused;
+  Refused = Hop.call(booking());
+  CHECK(Refused.result_int() == 503);
+  CHECK(field(Refused, headers::Outcome) == "not-run");
+  CHECK(field(Refused, headers::Reason) == "draining");
+  Refused = callOnce(OwnDaemon, booking());
+  CHECK(field(Refused, headers::Reason) == "draining");
+  Answer.open();
+  const http_response Response = Caller.receive();
+  CHECK(Response.result_int() == 200);
+  CHECK(Response.body() == "inner");
+  CHECK(Drained.wait());
+}
--- a/tests/support/http_fixture.h
+++ b/tests/support/http_fixture.h
@@ -163,6 +163,10 @@
     for (const auto &Connection : Connections)
       ::shutdown(Connection->Socket.native_handle(), SHUT_RDWR);
   }
+  void closeConnection(unsigned Number) {
+    const std::lock_guard<std::mutex> Guard(Lock);
+    ::shutdown(Connections.at(Number)->Socket.native_handle(), SHUT_RDWR);
+  }
   unsigned connections() const { return Count; }
 
 private:
@@ -267,7 +271,8 @@
 class test_daemon {
 public:
   explicit test_daemon(const std::string &Instance)
-      : Picker(state::makeTwoChoicePicker(Stats)) {
+      : Picker(state::makeTwoChoicePicker(Stats)), Metrics(Instance) {
+    Options.Metrics = &Metrics;
     Options.Instance = Instance;
     Options.Address = "127.0.0.1:0";
     Hooks.OnAnnouncement = [this](const auto &Announcement) {
@@ -296,14 +301,41 @@
   }
   std::string address() const { return Plane->address(); }
 
+  /// Takes effect with the next announcement, which is made at once.
+  void setSlots(std::uint32_t Slots) {
+    {
+      const std::lock_guard<std::mutex> Guard(Lock);
+      Announcement.Slots = Slots;
+    }
+    announceNow();
+  }
+  /// Waits until so many requests wait for a slot, as the metrics show.
+  bool awaitQueued(unsigned Queued) {
+    const std::string Line = "hyssop_admission_queued{instance=\"" +
+                             Options.Instance + "\"} " +
+                             std::to_string(Queued) + "\n";
+    const auto End = std::chrono::steady_clock::now() + Patience;
+    while (Metrics.text().find(Line) == std::string::npos) {
+      if (std::chrono::steady_clock::now() > End)
+        return false;
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return true;
+  }
+
   /// Announces an upstream of service "reservations" until the end.
   void announce(const std::string &Address, std::uint32_t Slots = 12) {
-    Announcement = {"reservations", "v1", Address, Slots, false};
-    Plane->announce(Announcement);
+    {
+      const std::lock_guard<std::mutex> Guard(Lock);
+      Announcement = {"reservations", "v1", Address, Slots, false};
+    }
+    announceNow();
     REQUIRE(Announced.wait());
+    if (Announcer.joinable())
+      return;
     Announcer = std::thread([this] {
       while (KeepAnnouncing) {
-        Plane->announce(Announcement);
+        announceNow();
         std::this_thread::sleep_for(std::chrono::milliseconds(200));
       }
     });
@@ -320,11 +352,18 @@
   state::retry_budget Budget{1.0, 1000};
   transport::data_plane_options Options;
   transport::data_plane_hooks Hooks;
+  transport::metrics Metrics;
   inbox<state::attempt_report> Attempts;
   inbox<std::vector<state::crash_sighting>> Crashes;
   std::unique_ptr<transport::data_plane> Plane;
 
 private:
+  void announceNow() {
+    const std::lock_guard<std::mutex> Guard(Lock);
+    Plane->announce(Announcement);
+  }
+
+  std::mutex Lock;
   state::upstream_announcement Announcement;
   gate Announced;
   std::atomic<bool> KeepAnnouncing{true};
