--- /dev/null
+++ b/hyssopledge/transport/logging.cpp
@@ -0,0 +1,175 @@
+#include "hyssopledge/transport/logging.h"
+
+#include <array>
+#include <cctype>
+#include <fcntl.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/helpers/transcoder.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+#include <mutex>
+#include <unistd.h>
+
+namespace hyssopledge::transport {
+
+namespace {
+
+constexpr std::array LevelNames = {"trace", "debug", "info", "warn", "error"};
+
+log4cxx::LevelPtr toLog4cxx(log_level Level) {
+  switch (Level) {
+  case log_level::Trace:
+    return log4cxx::Level::getTrace();
+  case log_level::Debug:
+    return log4cxx::Level::getDebug();
+  case log_level::Info:
+    return log4cxx::Level::getInfo();
+  case log_level::Warn:
+    return log4cxx::Level::getWarn();
+  case log_level::Error:
+    return log4cxx::Level::getError();
+  }
+  return log4cxx::Level::getInfo();
+}
+
+const log4cxx::LoggerPtr &logger() {
+  static const log4cxx::LoggerPtr Logger =
+      log4cxx::Logger::getLogger("hyssopledge");
+  return Logger;
+}
+
+struct log_file {
+  std::mutex Lock;
+  std::string Path; // empty: standard error
+};
+
+log_file &logFile() {
+  static log_file File;
+  return File;
+}
+
+/// log4cxx reports an unusable file on standard error only.
+state::result<void> checkWritable(const std::string &Path) {
+  const int File =
+      ::open(Path.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644);
+  if (File < 0)
+    return state::failure(state::errc::Unavailable,
+                          "can't open log file " + Path);
+  ::close(File);
+  return boost::outcome_v2::success();
+}
+
+void replaceAppender(const std::string &Path) {
+  // UTC, so that lines of several data centres can be merged.
+  LOG4CXX_DECODE_CHAR(Pattern,
+                      "time=%d{yyyy-MM-ddTHH:mm:ss.SSS}{UTC}Z level=%p %m%n");
+  const log4cxx::LayoutPtr Layout(new log4cxx::PatternLayout(Pattern));
+  log4cxx::AppenderPtr Appender;
+  if (Path.empty()) {
+    LOG4CXX_DECODE_CHAR(Target, "System.err");
+    Appender.reset(new log4cxx::ConsoleAppender(Layout, Target));
+  } else {
+    LOG4CXX_DECODE_CHAR(Name, Path);
+    Appender.reset(new log4cxx::FileAppender(Layout, Name, true));
+  }
+  // The new appender is added first, so that no line is lost between the two.
+  const log4cxx::AppenderList Old = logger()->getAllAppenders();
+  logger()->addAppender(Appender);
+  for (const log4cxx::AppenderPtr &Replaced : Old) {
+    logger()->removeAppender(Replaced);
+    Replaced->close();
+  }
+}
+
+bool plainCharacter(char Character) {
+  return std::isalnum(static_cast<unsigned char>(Character)) != 0 ||
+         std::string_view("-_.:/+@%").find(Character) != std::string_view::npos;
+}
+
+} // namespace
+
+state::result<log_level> parseLogLevel(std::string_view Name) {
+  for (std::size_t I = 0; I < LevelNames.size(); ++I)
+    if (Name == LevelNames[I])
+      return static_cast<log_level>(I);
+  return state::failure(state::errc::InvalidSettings,
+                        "log level \"" + std::string(Name) +
+                            "\" must be trace, debug, info, warn or error");
+}
+
+state::result<void> setUpLogging(const log_options &Options) {
+  if (!Options.File.empty())
+    if (auto Usable = checkWritable(Options.File); Usable.has_error())
+      return Usable;
+  const std::lock_guard<std::mutex> Guard(logFile().Lock);
+  logFile().Path = Options.File;
+  logger()->setAdditivity(false);
+  logger()->setLevel(toLog4cxx(Options.Level));
+  replaceAppender(Options.File);
+  return boost::outcome_v2::success();
+}
+
+state::result<void> reopenLog() {
+  const std::lock_guard<std::mutex> Guard(logFile().Lock);
+  if (logFile().Path.empty())
+    return boost::outcome_v2::success();
+  if (auto Usable = checkWritable(logFile().Path); Usable.has_error())
+    return Usable;
+  replaceAppender(logFile().Path);
+  return boost::outcome_v2::success();
+}
+
+log_field::log_field(std::string_view Key, std::string_view Text) : Key(Key) {
+  bool Plain = !Text.empty();
+  for (const char Character : Text)
+    Plain = Plain && plainCharacter(Character);
+  if (Plain) {
+    Value = Text;
+    return;
+  }
+  Value = "\"";
+  for (const char Character : Text) {
+    const auto Code = static_cast<unsigned char>(Character);
+    if (Character == '"' || Character == '\\') {
+      Value += '\\';
+      Value += Character;
+    } else if (Character == '\n') {
+      Value += "\\n";
+    } else if (Code < 0x20 || Code == 0x7f) {
+      Value += "\\x";
+      Value += "0123456789abcdef"[Code >> 4];
+      Value += "0123456789abcdef"[Code & 15];
+    } else {
+      Value += Character;
+    }
+  }
+  Value += '"';
+}
+
+std::string formatEvent(std::string_view Event,
+                        const std::vector<log_field> &Fields) {
+  std::string Line = "event=" + std::string(Event);
+  for (const log_field &Field : Fields) {
+    Line += ' ';
+    Line += Field.Key;
+    Line += '=';
+    Line += Field.Value;
+  }
+  return Line;
+}
+
+bool logEnabled(log_level Level) {
+  return logger()->isEnabledFor(toLog4cxx(Level));
+}
+
+void logEvent(log_level Level, std::string_view Event,
+              const std::vector<log_field> &Fields) {
+  if (!logEnabled(Level))
+    return;
+  LOG4CXX_DECODE_CHAR(Line, formatEvent(Event, Fields));
+  logger()->forcedLogLS(toLog4cxx(Level), Line,
+                        log4cxx::spi::LocationInfo::getLocationUnavailable());
+}
+
+} // namespace hyssopledge::transport
--- a/tests/data_plane_test.cpp
+++ b/tests/data_plane_test.cpp
@@ -126,6 +126,8 @@
     unsigned Status;
     std::string Bytes;
   };
+  std::string Long;
+  Long.resize(0x801000, 'x'); // as the chunk size below
   const input_case Cases[] = {
       {"malformed-http", 400, "GEX /book\r\n\r\n"},
       {"malformed-http", 400, "GET /book HTTP/1.1\r\nbad field\r\n\r\n"},
@@ -136,7 +138,7 @@
        "POST /book HTTP/1.1\r\nContent-Length: 8388609\r\n\r\n"},
       {"body-too-large", 413,
        "POST /book HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n801000\r\n" +
-           std::string(0x801000, 'x') + "\r\n0\r\n\r\n"},
+           Long + "\r\n0\r\n\r\n"},
       {"header-too-large", 431,
        "GET /book HTTP/1.1\r\nA: " + std::string(20000, 'x') + "\r\n\r\n"},
   };
--- /dev/null
+++ b/tools/load_generator/main.cpp
@@ -0,0 +1,256 @@
+/// \file
+/// Callers on loopback. Sends requests at a fixed rate over a fixed number of
+/// connections, checks that each answer belongs to its request, and prints one
+/// JSON object with the counts.
+#include "hyssopledge/protocol/call_headers.h"
+#include "hyssopledge/transport/http_client_pool.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <popt.h>
+#include <utility>
+#include <vector>
+
+namespace {
+
+using namespace hyssopledge;
+namespace asio = boost::asio;
+namespace headers = protocol::call_headers;
+namespace http = boost::beast::http;
+using state::boot_clock;
+using transport::http_request;
+
+struct options {
+  std::vector<std::string> Addresses; // data addresses, used in turn
+  std::string Method = "GET";
+  std::string Path = "/";
+  std::string KeyPrefix; // idempotency keys PREFIX-N; empty: none
+  std::string Body;
+  double Rate = 100; // calls per second
+  double Seconds = 5;
+  int Connections = 16; // calls at once
+  int TimeoutMs = 5000;
+  int Repeat = 1; // times each key is sent
+};
+
+class generator {
+public:
+  generator(asio::io_context &Context, options Options)
+      : Context(Context), Options(std::move(Options)),
+        Pool(Context, poolOptions(this->Options)), Timer(Context),
+        Started(boot_clock::now()),
+        Total(static_cast<std::uint64_t>(this->Options.Rate *
+                                         this->Options.Seconds)) {}
+
+  void start() { tick(); }
+
+  nlohmann::json result() const {
+    std::vector<double> Sorted = Latencies;
+    std::sort(Sorted.begin(), Sorted.end());
+    const auto Quantile = [&](double Q) {
+      return Sorted.empty() ? 0.0
+                            : Sorted[std::min(
+                                  Sorted.size() - 1,
+                                  static_cast<std::size_t>(
+                                      Q * static_cast<double>(Sorted.size())))];
+    };
+    const double Seconds =
+        std::chrono::duration<double>(boot_clock::now() - Started).count();
+    return {{"sent", Sent},
+            {"late", Late},
+            {"whole", Latencies.size()},
+            {"wrong_answers", WrongAnswers},
+            {"by_status", ByStatus},
+            {"by_outcome", ByOutcome},
+            {"by_reason", ByReason},
+            {"by_version", ByVersion},
+            {"p50_ms", Quantile(0.50)},
+            {"p99_ms", Quantile(0.99)},
+            {"max_ms", Quantile(1)},
+            {"seconds", Seconds}};
+  }
+  bool ok() const { return WrongAnswers == 0; }
+  bool finished() const { return Sent >= Total && InFlight == 0; }
+
+private:
+  static transport::client_pool_options poolOptions(const options &Options) {
+    transport::client_pool_options Pool;
+    Pool.MaxIdle = static_cast<std::size_t>(Options.Connections);
+    return Pool;
+  }
+
+  /// Sends what is due. With all connections busy a call waits, and counts as
+  /// late.
+  void tick() {
+    const double Age =
+        std::chrono::duration<double>(boot_clock::now() - Started).count();
+    const std::uint64_t Due =
+        std::min(Total, static_cast<std::uint64_t>(Age * Options.Rate) + 1);
+    while (Sent < Due && InFlight < Options.Connections)
+      send();
+    Late += Due - Sent;
+    if (Sent >= Total)
+      return;
+    Timer.expires_after(std::chrono::milliseconds(1));
+    Timer.async_wait([this](const boost::system::error_code &Error) {
+      if (!Error)
+        tick();
+    });
+  }
+
+  void send() {
+    const std::uint64_t Number = Sent++;
+    const std::string Id = "r" + std::to_string(Number);
+    const std::string &Address =
+        Options.Addresses[Number % Options.Addresses.size()];
+    http_request Request(http::string_to_verb(Options.Method), Options.Path,
+                         11);
+    Request.set(http::field::host, Address);
+    Request.set("x-request-id", Id);
+    if (!Options.KeyPrefix.empty())
+      Request.set(headers::IdempotencyKey,
+                  Options.KeyPrefix + "-" +
+                      std::to_string(
+                          Number / static_cast<std::uint64_t>(Options.Repeat)));
+    Request.body() = Options.Body;
+    Request.prepare_payload();
+    ++InFlight;
+    const state::time_point At = boot_clock::now();
+    Pool.send(Address, std::move(Request),
+              At + std::chrono::milliseconds(Options.TimeoutMs),
+              [this, Id, At](const transport::exchange_result &Result) {
+                --InFlight;
+                record(Id, At, Result);
+              });
+  }
+
+  void record(const std::string &Id, state::time_point At,
+              const transport::exchange_result &Result) {
+    if (Result.End != transport::exchange_end::Whole) {
+      ++ByStatus["none"];
+      ++ByOutcome[Result.End == transport::exchange_end::NotSent ? "not-sent"
+                                                                 : "unknown"];
+      return;
+    }
+    const auto &Response = Result.Response;
+    Latencies.push_back(
+        std::chrono::duration<double, std::milli>(boot_clock::now() - At)
+            .count());
+    ++ByStatus[std::to_string(Response.result_int())];
+    const std::string Outcome(
+        transport::fieldValue(Response, headers::Outcome));
+    ++ByOutcome[Outcome.empty() ? "none" : Outcome];
+    const std::string Reason(transport::fieldValue(Response, headers::Reason));
+    if (!Reason.empty())
+      ++ByReason[Reason];
+    const std::string Version(transport::fieldValue(Response, "x-version"));
+    if (!Version.empty())
+      ++ByVersion[Version];
+    // A repeated key is answered with the first request's stored answer, which
+    // has no request id.
+    const std::string Echoed(transport::fieldValue(Response, "x-request-id"));
+    if ((Response.result_int() == 200 && Options.KeyPrefix.empty()) ||
+        !Echoed.empty())
+      WrongAnswers += Echoed == Id ? 0 : 1;
+  }
+
+  asio::io_context &Context;
+  options Options;
+  transport::http_client_pool Pool;
+  asio::steady_timer Timer;
+  state::time_point Started;
+  std::uint64_t Total;
+  std::uint64_t Sent = 0;
+  std::uint64_t Late = 0; // sums of waiting calls over milliseconds
+  std::uint64_t WrongAnswers = 0;
+  int InFlight = 0;
+  std::vector<double> Latencies; // milliseconds
+  std::map<std::string, std::uint64_t> ByStatus;
+  std::map<std::string, std::uint64_t> ByOutcome;
+  std::map<std::string, std::uint64_t> ByReason;
+  std::map<std::string, std::uint64_t> ByVersion;
+};
+
+/// Reads the flags; false after an error, which was printed.
+bool parse(int Argc, const char **Argv, options &Options) {
+  const char *Addresses = nullptr;
+  const char *Method = nullptr;
+  const char *Path = nullptr;
+  const char *KeyPrefix = nullptr;
+  const char *Body = nullptr;
+  const poptOption Table[] = {
+      {"address", 'a', POPT_ARG_STRING, &Addresses, 0,
+       "data addresses of daemons, used in turn", "IP:PORT,IP:PORT"},
+      {"method", 'm', POPT_ARG_STRING, &Method, 0, "method", "METHOD"},
+      {"path", 'p', POPT_ARG_STRING, &Path, 0, "path", "PATH"},
+      {"body", 'b', POPT_ARG_STRING, &Body, 0, "body of each request", "TEXT"},
+      {"rate", 'r', POPT_ARG_DOUBLE, &Options.Rate, 0, "calls per second", "N"},
+      {"duration", 't', POPT_ARG_DOUBLE, &Options.Seconds, 0,
+       "time in which calls are sent", "S"},
+      {"connections", 'c', POPT_ARG_INT, &Options.Connections, 0,
+       "calls at once", "N"},
+      {"timeout-ms", '\0', POPT_ARG_INT, &Options.TimeoutMs, 0,
+       "longest wait for an answer", "MS"},
+      {"keys", 'k', POPT_ARG_STRING, &KeyPrefix, 0,
+       "send idempotency keys PREFIX-N", "PREFIX"},
+      {"repeat", '\0', POPT_ARG_INT, &Options.Repeat, 0,
+       "times each idempotency key is sent", "N"},
+      POPT_AUTOHELP POPT_TABLEEND};
+  poptContext Popt = poptGetContext("load_generator", Argc, Argv, Table, 0);
+  const int Parsed = poptGetNextOpt(Popt);
+  if (Parsed < -1)
+    std::cerr << "load_generator: " << poptBadOption(Popt, 0) << ": "
+              << poptStrerror(Parsed) << "\n";
+  poptFreeContext(Popt);
+  if (Parsed < -1)
+    return false;
+  std::string List = Addresses != nullptr ? Addresses : "";
+  while (!List.empty()) {
+    const std::size_t Comma = List.find(',');
+    Options.Addresses.push_back(List.substr(0, Comma));
+    List = Comma == std::string::npos ? "" : List.substr(Comma + 1);
+  }
+  Options.Method = Method != nullptr ? Method : "GET";
+  Options.Path = Path != nullptr ? Path : "/";
+  Options.KeyPrefix = KeyPrefix != nullptr ? KeyPrefix : "";
+  Options.Body = Body != nullptr ? Body : "";
+  for (const std::string &Address : Options.Addresses) {
+    const auto Endpoint = transport::parseEndpoint(Address);
+    if (Endpoint.has_error() || !Endpoint.value().address().is_loopback()) {
+      std::cerr << "load_generator: " << Address
+                << " must be \"ip:port\" on loopback\n";
+      return false;
+    }
+  }
+  if (Options.Addresses.empty() || Options.Rate <= 0 || Options.Rate > 50'000 ||
+      Options.Connections < 1 || Options.Connections > 1000 ||
+      Options.Repeat < 1 ||
+      http::string_to_verb(Options.Method) == http::verb::unknown) {
+    std::cerr << "load_generator: needs --address, a rate of at most 50000, 1 "
+                 "to 1000 connections, a repeat of at least 1 and a known "
+                 "method\n";
+    return false;
+  }
+  return true;
+}
+
+} // namespace
+
+int main(int Argc, const char **Argv) {
+  options Options;
+  if (!parse(Argc, Argv, Options))
+    return 2;
+  asio::io_context Context(1);
+  generator Generator(Context, Options);
+  Generator.start();
+  // Ends when the last answer has come, but for the pool's idle timer.
+  while (Context.run_one() > 0 && !Generator.finished()) {
+  }
+  std::cout << Generator.result().dump() << std::endl;
+  return Generator.ok() ? 0 : 1;
+}
