--- /dev/null
+++ b/tests/rollout_history_test.cpp
@@ -0,0 +1,243 @@
+/// \file
+/// Plays seeded schedules of faults against the coordinators and checks the
+/// history: a bad version keeps a small share and soon gets no calls, a good
+/// one is not rolled back, "complete" is never said falsely, steps never go
+/// back. Each checker is shown to find its violation on a variant without the
+/// mechanism. HYSSOP_HISTORY_SEED=N plays one schedule,
+/// HYSSOP_HISTORY_SCHEDULES=N that many.
+#include "support/rollout_world.h"
+
+#include <cstdlib>
+#include <doctest/doctest.h>
+
+using namespace hyssopledge;
+using namespace hyssopledge::coordination;
+using state::rollout_phase;
+using tests::rollout_world;
+using tests::rolloutSnapshot;
+
+namespace {
+
+enum class kind { Good, FailsAtOnce, FailsLater, FailsUnderLoad, Slow, Both };
+constexpr int Kinds = 6;
+
+/// What is taken away from the system under test.
+enum class variant {
+  None,
+  NoTest,           // shares rise by time alone
+  NoBaseline,       // any failures count, also those of both versions
+  NoAcknowledgement // complete is said as soon as the share is 1
+};
+
+class variant_policy final : public rollout_policy {
+public:
+  explicit variant_policy(variant Variant) : Variant(Variant) {}
+
+  std::optional<rollout_action>
+  decide(const rollout_input &Input) const override {
+    if (Variant == variant::None || Variant == variant::NoAcknowledgement)
+      return Shipped->decide(Input);
+    const auto Ladder = shareLadder(Input.Spec);
+    if (Input.Current.Phase == rollout_phase::RolledBack)
+      return std::nullopt;
+    if (Variant == variant::NoBaseline) {
+      evidence_cell New;
+      for (const stratum_sum &Sum : Input.Evidence.sums(3))
+        if (Sum.Key->Version == Input.Current.ToVersion)
+          New.add(Sum.Cell);
+      if (New.Failures > 5 && 5 * New.Failures > New.calls())
+        return rollout_action{0, rollout_phase::RolledBack, "threshold", ""};
+    }
+    const auto Next = std::upper_bound(Ladder.begin(), Ladder.end(),
+                                       Input.Current.Share + 1e-9);
+    if (Next == Ladder.end() || Input.SinceStep < std::chrono::seconds(10) ||
+        !Input.MayRaise)
+      return std::nullopt;
+    return rollout_action{
+        *Next, *Next >= 1 ? rollout_phase::Watching : rollout_phase::Running,
+        "time", ""};
+  }
+
+private:
+  variant Variant;
+  std::unique_ptr<rollout_policy> Shipped = makeEvidencePolicy();
+};
+
+struct history {
+  kind Kind = kind::Good;
+  std::set<std::string> Violations;
+};
+
+// From the symptom's first second: reports (2 s), three slices when few calls
+// come, the write and the next second of calls. Outages of the platform are
+// counted on top, since nothing but votes acts during them.
+constexpr int SoonSeconds = 20;
+
+history playSchedule(std::uint64_t Seed, variant Variant) {
+  rollout_world World(
+      Seed, 2, [Variant] { return std::make_unique<variant_policy>(Variant); });
+  state::random_engine Random(Seed * 977 + 5);
+  history History;
+  History.Kind = static_cast<kind>(Seed % Kinds);
+  const int SymptomAt = 20 + static_cast<int>(state::uniformBelow(Random, 60));
+  const int OutageAt = 10 + static_cast<int>(state::uniformBelow(Random, 80));
+  const int OutageTo =
+      Random() % 2 == 0
+          ? OutageAt + static_cast<int>(state::uniformBelow(Random, 25))
+          : OutageAt;
+  const int PauseAt = 5 + static_cast<int>(state::uniformBelow(Random, 100));
+  const int PauseTo =
+      PauseAt + static_cast<int>(state::uniformBelow(Random, 40));
+  const int DeafAt = 60 + static_cast<int>(state::uniformBelow(Random, 60));
+  const int DeafTo = DeafAt + static_cast<int>(state::uniformBelow(Random, 60));
+  const int DeafMember =
+      static_cast<int>(state::uniformBelow(Random, rollout_world::Members));
+
+  bool Bad = false;
+  const auto Symptom = [&](double Share) {
+    switch (History.Kind) {
+    case kind::FailsAtOnce:
+    case kind::Slow:
+      return true;
+    case kind::FailsLater:
+      return World.Seconds >= SymptomAt;
+    case kind::FailsUnderLoad:
+      return Share >= 0.45;
+    default:
+      return false;
+    }
+  };
+  World.Model = [&](bool New, double Share) {
+    tests::call_model Model;
+    if (History.Kind == kind::Both && World.Seconds >= SymptomAt &&
+        World.Seconds < SymptomAt + 30)
+      Model.FailureRate = 0.5;
+    if (New && Share > 0 && Symptom(Share)) {
+      Bad = true;
+      if (History.Kind == kind::Slow)
+        Model.MedianMs *= 6;
+      else
+        Model.FailureRate = 0.7;
+    }
+    return Model;
+  };
+  World.SayCompleteAtOnce = Variant == variant::NoAcknowledgement;
+  World.accept(rolloutSnapshot(5, "v1", "v2", std::chrono::seconds(120)));
+
+  int BadSince = -1;
+  int Unable = 0; // seconds of the symptom in which nobody could decide
+  for (int Second = 0; Second < 330; ++Second) {
+    World.Platform.Down = Second >= OutageAt && Second < OutageTo;
+    for (std::size_t Node = 0; Node < World.Nodes.size(); ++Node)
+      World.Nodes[Node]->Paused =
+          Node == Seed / Kinds % 2 && Second >= PauseAt && Second < PauseTo;
+    if (Second == DeafAt)
+      World.Deaf = {DeafMember};
+    if (Second == DeafTo) {
+      World.Deaf.clear();
+      World.resync();
+    }
+    if (state::uniformBelow(Random, 20) == 0)
+      World.Platform.LoseAnswers = 1;
+    if (state::uniformBelow(Random, 20) == 0)
+      World.Platform.DropBefore = 1;
+    const std::uint64_t Before = World.NewCalls;
+    World.second();
+    if (!Bad)
+      continue;
+    if (BadSince < 0)
+      BadSince = Second;
+    const bool Able = World.holder() != nullptr && !World.holder()->Paused &&
+                      !World.Platform.Down;
+    Unable += Able ? 0 : 1;
+    // A deaf member still sends the share it knows; its calls are not counted.
+    if (Second - BadSince > SoonSeconds + Unable && World.Deaf.empty() &&
+        World.NewCalls != Before)
+      History.Violations.insert("a bad version still gets calls");
+  }
+  const auto Record = World.recorded();
+  if (!Record) {
+    History.Violations.insert("no record");
+    return History;
+  }
+  const bool RolledBack =
+      static_cast<rollout_phase>(Record->phase()) == rollout_phase::RolledBack;
+  if (RolledBack && !Bad)
+    History.Violations.insert("a good version was rolled back");
+  if (Bad && History.Kind != kind::FailsLater &&
+      History.Kind != kind::FailsUnderLoad && World.LargestShare > 0.05)
+    History.Violations.insert("a bad version got a large share");
+  History.Violations.insert(World.Violations.begin(), World.Violations.end());
+  return History;
+}
+
+std::uint64_t environmentNumber(const char *Name, std::uint64_t Default) {
+  const char *Text = std::getenv(Name);
+  return Text != nullptr ? std::strtoull(Text, nullptr, 10) : Default;
+}
+
+/// Violations found in the schedules, with the first seed of each.
+std::map<std::string, std::uint64_t>
+search(variant Variant, std::uint64_t First, std::uint64_t Schedules) {
+  std::map<std::string, std::uint64_t> Found;
+  for (std::uint64_t Seed = First; Seed < First + Schedules; ++Seed)
+    for (const std::string &Violation : playSchedule(Seed, Variant).Violations)
+      Found.try_emplace(Violation, Seed);
+  return Found;
+}
+
+void checkHistories(std::uint64_t Part) {
+  const std::uint64_t Schedules =
+      environmentNumber("HYSSOP_HISTORY_SCHEDULES", 2000) / 4;
+  const std::uint64_t Seed = environmentNumber("HYSSOP_HISTORY_SEED", 0);
+  const auto Found =
+      Seed != 0 ? search(variant::None, Seed, 1)
+                : search(variant::None, 1 + Part * Schedules, Schedules);
+  for (const auto &[Violation, At] : Found)
+    FAIL_CHECK(Violation << "; repeat with HYSSOP_HISTORY_SEED=" << At
+                         << " rollout_history_test -tc='histories, part 1'");
+}
+
+} // namespace
+
+// In parts, so that they run beside each other.
+TEST_CASE("histories, part 1") { checkHistories(0); }
+TEST_CASE("histories, part 2") { checkHistories(1); }
+TEST_CASE("histories, part 3") { checkHistories(2); }
+TEST_CASE("histories, part 4") { checkHistories(3); }
+
+TEST_CASE("the checkers find what a missing mechanism breaks") {
+  struct red_case {
+    variant Variant;
+    std::vector<std::string> Violations;
+  };
+  const red_case Cases[] = {
+      {variant::NoTest,
+       {"a bad version still gets calls", "a bad version got a large share"}},
+      {variant::NoBaseline, {"a good version was rolled back"}},
+      {variant::NoAcknowledgement, {"complete was said falsely"}},
+  };
+  for (const red_case &Case : Cases) {
+    const auto Found = search(Case.Variant, 1, 60);
+    for (const std::string &Violation : Case.Violations) {
+      CAPTURE(Violation);
+      CHECK(Found.contains(Violation));
+    }
+  }
+}
+
+TEST_CASE("the checker finds a step that goes back") {
+  rollout_world World(1);
+  World.accept(rolloutSnapshot(5, "v1", "v2"));
+  World.seconds(60);
+  CHECK(World.Violations.empty());
+  auto Record = *World.recorded();
+  Record.set_step(Record.step() - 1);
+  World.Platform.commit(
+      {{},
+       {{keys::rollout("production", "sizing"), Record.SerializeAsString(), 0}},
+       {}},
+      [](auto) {});
+  World.check();
+  CHECK(World.Violations.contains("recorded step went back"));
+}
--- a/tests/support/rollout_world.h
+++ b/tests/support/rollout_world.h
@@ -42,10 +42,15 @@
 public:
   static constexpr int Members = 6;
 
-  explicit rollout_world(std::uint64_t Seed, int Coordinators = 2)
+  using policy_factory =
+      std::function<std::unique_ptr<coordination::rollout_policy>()>;
+  explicit rollout_world(
+      std::uint64_t Seed, int Coordinators = 2,
+      const policy_factory &Policy =
+          [] { return coordination::makeEvidencePolicy(); })
       : Random(Seed), Platform([this] { return Now; }) {
     for (int I = 0; I < Coordinators; ++I)
-      Nodes.push_back(std::make_unique<node>(*this, I));
+      Nodes.push_back(std::make_unique<node>(*this, I, Policy()));
     for (int I = 0; I < Members; ++I) {
       control::member &Member = Listed.emplace_back();
       Member.set_instance("d" + std::to_string(I));
@@ -60,7 +65,8 @@
   }
 
   struct node {
-    node(rollout_world &World, int Index)
+    node(rollout_world &World, int Index,
+         std::unique_ptr<coordination::rollout_policy> Policy)
         : Seat({.Key = coordination::keys::coordinatorSeat("production"),
                 .Value = "d" + std::to_string(Index)},
                World.Random),
@@ -68,7 +74,7 @@
           Coordinator(
               {.Environment = "production",
                .Instance = "d" + std::to_string(Index)},
-              World.Platform, Seat, coordination::makeEvidencePolicy(),
+              World.Platform, Seat, std::move(Policy),
               [&World](const auto &Record) { World.gossip(Record); },
               [&World] { return World.Now; }) {}
     coordination::seat Seat;
@@ -108,6 +114,14 @@
       second();
   }
 
+  /// Members that were deaf get the newest directive, as from a full sync.
+  void resync() {
+    for (auto &From : Books)
+      for (const auto &Record : From.records())
+        for (auto &To : Books)
+          (void)To.accept(Record);
+  }
+
   /// Checks what must hold at each moment; a violation is kept as text.
   void check() {
     const auto Record = recorded();
@@ -125,15 +139,17 @@
     for (const auto &Said : Published)
       if (!Recorded.contains(Said))
         fail("published before it was recorded");
-    if (coordination::isComplete(*Record) && !WasComplete)
-      for (int I = 0; I < Members; ++I) {
-        const auto Table = Books[static_cast<std::size_t>(I)].directives();
+    LargestShare = std::max(LargestShare, Record->share());
+    const bool Complete = SayCompleteAtOnce ? Record->share() >= 1
+                                            : coordination::isComplete(*Record);
+    if (Complete && !WasComplete)
+      for (const coordination::directive_book &Book : Books) {
+        const auto Table = Book.directives();
         auto Found = Table->ByService.find("sizing");
         if (Found == Table->ByService.end() || Found->second.Share < 1)
-          fail("complete was said while d" + std::to_string(I) +
-               " sends calls to the old version");
+          fail("complete was said falsely");
       }
-    WasComplete = coordination::isComplete(*Record);
+    WasComplete = Complete;
   }
   void fail(const std::string &Text) { Violations.insert(Text); }
 
@@ -191,6 +207,8 @@
   };
   double CallsPerSecond = 300;
   std::uint64_t NewCalls = 0;
+  double LargestShare = 0;        // recorded
+  bool SayCompleteAtOnce = false; // for a test of the checker
   int Seconds = 0;
 
 private:
