--- a/hyssopledge/transport/etcd_client.h
+++ b/hyssopledge/transport/etcd_client.h
@@ -14,7 +14,8 @@
 struct etcd_core;
 
 /// Handlers run on the io_context given; none runs after the client is
-/// destroyed. Call it, and destroy it, on the thread that runs the context.
+/// destroyed. The answers come from another thread, so the context needs a work
+/// guard or other work to wait for them. Call the client, and destroy it, on the thread that runs the context.
 ///
 /// Outcomes of a failed write: Unavailable when no connection was there for the
 /// request or the platform refused it before acting, Timeout when it may have
--- a/tests/etcd_client_test.cpp
+++ b/tests/etcd_client_test.cpp
@@ -5,6 +5,7 @@
 
 #include "support/platform_process.h"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <doctest/doctest.h>
 #include <optional>
 
@@ -22,6 +23,8 @@
       : Client(Context, {std::move(Endpoints), Timeout}) {}
 
   boost::asio::io_context Context;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      Work = boost::asio::make_work_guard(Context);
   transport::etcd_client Client;
 
   /// Runs the loop until the condition holds or 10 s have passed.
@@ -30,7 +33,6 @@
     while (!Condition()) {
       if (std::chrono::steady_clock::now() > End)
         return false;
-      Context.restart();
       Context.run_one_for(10ms);
       Context.poll();
     }
--- /dev/null
+++ b/tests/hyssopctl_test.cpp
@@ -0,0 +1,218 @@
+/// \file
+/// Guards what operators see: exit codes, messages and records, with the
+/// programs as processes of their own.
+#include "hyssopledge/coordination/keys.h"
+#include "hyssopledge/protocol/generated/control.pb.h"
+#include "hyssopledge/protocol/settings.h"
+#include "hyssopledge/transport/etcd_client.h"
+#include "support/platform_process.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+#include <fstream>
+#include <optional>
+
+using namespace hyssopledge;
+
+namespace {
+
+struct ran {
+  int Code = 0;
+  std::string Out;
+  std::string Errors;
+  nlohmann::json json() const { return nlohmann::json::parse(Out); }
+};
+
+std::vector<std::string> command(std::vector<std::string> Words) {
+  Words.insert(Words.begin(), HYSSOPLEDGE_BIN_DIR "/apps/hyssopctl/hyssopctl");
+  return Words;
+}
+
+ran run(std::vector<std::string> Words) {
+  tests::child_process Process(command(std::move(Words)));
+  ran Ran;
+  Ran.Out = Process.readOutput();
+  Ran.Errors = Process.readErrors();
+  Ran.Code = Process.wait();
+  return Ran;
+}
+
+const std::string Examples = HYSSOPLEDGE_SOURCE_DIR "/examples/";
+
+std::string readText(const std::string &Name) {
+  std::ifstream File(Name);
+  return {std::istreambuf_iterator<char>(File), {}};
+}
+
+/// A file for one test, gone afterwards.
+struct temporary_file {
+  explicit temporary_file(const std::string &Text)
+      : Name("hyssopctl_test_" + std::to_string(::getpid()) + ".json") {
+    std::ofstream(Name) << Text;
+  }
+  ~temporary_file() { ::unlink(Name.c_str()); }
+  temporary_file(const temporary_file &) = delete;
+  temporary_file &operator=(const temporary_file &) = delete;
+  std::string Name;
+};
+
+bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+void putRecord(const std::string &Address, const std::string &Key,
+               const google::protobuf::MessageLite &Record) {
+  boost::asio::io_context Context;
+  transport::etcd_client Client(Context, {{Address}, std::chrono::seconds(5)});
+  bool Written = false;
+  Client.commit({{}, {{Key, Record.SerializeAsString()}}, {}},
+                [&](const auto &Result) { Written = Result.has_value(); });
+  const auto Work = boost::asio::make_work_guard(Context);
+  while (!Written && Context.run_one_for(std::chrono::seconds(5)) > 0) {
+  }
+  REQUIRE(Written);
+}
+
+} // namespace
+
+TEST_CASE("hyssopctl says what is wrong with a command line or a file") {
+  temporary_file Bad(R"({"environment":"trial","services":[],"rutes":[]})");
+  struct usage_case {
+    std::vector<std::string> Words;
+    int Code;
+    const char *Text;
+  };
+  const usage_case Cases[] = {
+      {{"--version"}, 0, "hyssopctl 0."},
+      {{"--help"}, 0, "validate FILE"},
+      {{}, 2, "no command"},
+      {{"rollback"}, 2, "unknown command"},
+      {{"validate"}, 2, "number of arguments"},
+      {{"status", "--color"}, 2, "--color"},
+      {{"status"}, 2, "--platform or --settings"},
+      {{"status", "--platform", "localhost:1"}, 2, "IP address"},
+      {{"status", "--settings", Examples + "daemon.json"}, 2, "unknown key"},
+      {{"status", "-p", "127.0.0.1:1", "-o", "xml"}, 2, "json or text"},
+      {{"validate", Examples + "trial.json"}, 0, "2 services and 3 routes"},
+      {{"validate", Examples + "production.json"}, 0, "Valid"},
+      {{"validate", Examples + "none.json"}, 1, "can't read the file"},
+      {{"validate", "/"}, 1, "not"},
+      {{"validate", Bad.Name}, 1, "/rutes: unknown key"},
+      {{"validate", Bad.Name}, 1, "Nothing was changed. Correct"},
+      {{"status", "-p", "127.0.0.1:1"}, 3, "Nothing was changed"},
+  };
+  for (const usage_case &Case : Cases) {
+    CAPTURE(Case.Words);
+    const ran Ran = run(Case.Words);
+    CAPTURE(Ran.Errors);
+    CHECK(Ran.Code == Case.Code);
+    CHECK(contains(Ran.Out + Ran.Errors, Case.Text));
+  }
+  CHECK(protocol::parseDaemonSettings(readText(Examples + "daemon.json"))
+            .has_value());
+  CHECK(protocol::parseOperatorSettings(readText(Examples + "operator.json"))
+            .has_value());
+}
+
+TEST_CASE("hyssopctl tries, compares, promotes and shows a document") {
+  tests::platform_process Platform;
+  const auto Ctl = [&](std::vector<std::string> Words) {
+    for (const char *Word : {"--platform", Platform.Address.c_str(), "--author",
+                             "ana", "--output", "json"})
+      Words.emplace_back(Word);
+    return run(std::move(Words));
+  };
+  CHECK(Ctl({"status"}).Code == 1);
+  CHECK(Ctl({"promote"}).Code == 1);
+  const ran Trial = Ctl({"trial", Examples + "trial.json"});
+  REQUIRE(Trial.Code == 0);
+  CHECK(Trial.json()["result"] == "accepted");
+  CHECK(Trial.json()["version"] == 1);
+  CHECK(Ctl({"trial", Examples + "trial.json"}).json()["result"] ==
+        "unchanged");
+  CHECK(Ctl({"promote", "--expect-version", "7"}).Code == 1);
+  CHECK(Ctl({"status"}).Code == 1);
+  const ran Promoted = Ctl({"promote", "--expect-version", "1"});
+  REQUIRE(Promoted.Code == 0);
+  CHECK(Promoted.json()["promoted_from"] == "trial@1");
+  CHECK(Ctl({"diff"}).json()["changes"].empty());
+
+  REQUIRE(Ctl({"trial", Examples + "production.json"}).Code == 0);
+  const nlohmann::json Diff = Ctl({"diff"}).json();
+  REQUIRE(Diff["changes"].size() == 1);
+  CHECK(Diff["changes"][0]["path"] == "/services/reservations/rollout");
+  CHECK(Diff["changes"][0]["new"].is_null());
+  CHECK(Ctl({"diff", Examples + "trial.json"}).json()["changes"].empty());
+
+  const nlohmann::json Status = Ctl({"status"}).json();
+  CHECK(Status["version"] == 1);
+  CHECK(Status["author"] == "ana");
+  CHECK(Status["in_force_everywhere"] == false);
+  CHECK(Ctl({"status", "--wait", "--timeout", "1"}).Code == 1);
+  CHECK(Ctl({"explain", "reservations"}).Code == 1);
+
+  control::convergence Statement;
+  Statement.set_version(1);
+  Statement.set_members(3);
+  Statement.set_acknowledged(2);
+  Statement.add_waiting_for("i-3");
+  putRecord(Platform.Address, coordination::keys::convergence("production"),
+            Statement);
+  CHECK(contains(run({"status", "-p", Platform.Address}).Out,
+                 "2 of 3 daemons have applied it, the leases of 0 have ended; "
+                 "waiting for i-3"));
+  Statement.set_in_force_everywhere(true);
+  putRecord(Platform.Address, coordination::keys::convergence("production"),
+            Statement);
+  CHECK(Ctl({"status", "--wait"}).json()["in_force_everywhere"] == true);
+
+  control::rollout_record Rollout;
+  Rollout.set_service("reservations");
+  Rollout.set_share(0.05);
+  control::decision &Decision = *Rollout.add_decisions();
+  Decision.set_rule("failure-rate");
+  Decision.set_seen("v2 30/100");
+  Decision.set_action("roll back");
+  putRecord(Platform.Address,
+            coordination::keys::rollout("production", "reservations"), Rollout);
+  CHECK(Ctl({"status"}).json()["rollouts"][0]["phase"] == "running");
+  const ran Explained =
+      run({"explain", "reservations", "-p", Platform.Address});
+  CHECK(Explained.Code == 0);
+  for (const char *Text :
+       {"share 5%", "failure-rate", "v2 30/100", "roll back"})
+    CHECK(contains(Explained.Out, Text));
+}
+
+TEST_CASE("hyssopctl tells refused, unreachable and unknown apart") {
+  tests::platform_process Platform;
+  temporary_file Settings(R"({"platform":{"endpoints":[")" + Platform.Address +
+                          R"("],"timeout_ms":1000}})");
+  const std::vector<std::string> Trial{"trial", Examples + "trial.json", "-s",
+                                       Settings.Name};
+  REQUIRE(Platform.fault(R"({"down":true})"));
+  const ran Down = run(Trial);
+  CHECK(Down.Code == 3);
+  CHECK(contains(Down.Errors, "was not moved"));
+  CHECK(contains(Down.Errors, "Nothing was changed. Check the endpoints"));
+
+  // The platform goes down while it handles the move of the head, the second
+  // write.
+  REQUIRE(Platform.fault(R"({"down":false,"latency_ms":400})"));
+  tests::child_process Process(command(Trial));
+  for (int I = 0; I < 1000 && Platform.stats()["writes"] < 2; ++I)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  REQUIRE(Platform.fault(R"({"down":true})"));
+  const std::string Errors = Process.readErrors();
+  CAPTURE(Errors);
+  CHECK(Process.wait() == 4);
+  CHECK(contains(Errors, "may have moved to version 1 (operation "));
+  CHECK(contains(Errors, "Run \"hyssopctl status\""));
+
+  // A repetition is safe, and a lost answer is read back.
+  REQUIRE(Platform.fault(R"({"down":false,"latency_ms":0,"lose_answers":1})"));
+  CHECK(run(Trial).Code == 0);
+  CHECK(contains(run({"status", "-e", "trial", "-s", Settings.Name}).Out,
+                 "trial: version 1,"));
+}
