Run the daemon end to end: membership, distribution, rollouts and calls

hyssopd now starts from its settings, joins, applies promoted documents, holds the coordinator's seat and answers status.

--- a/apps/hyssopd/daemon.cpp
+++ b/apps/hyssopd/daemon.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <csignal>
+#include <iostream>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <utility>
@@ -16,6 +17,8 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 using state::time_point;
+using transport::log_level;
+using transport::logEvent;
 
 // Retries for each call, and how many a quiet daemon may spend at once.
 constexpr double RetryRatio = 0.1;
@@ -105,7 +108,7 @@
 
   coordination::control_hooks Hooks;
   Hooks.OnSnapshot = [this](auto Snapshot) { onSnapshot(std::move(Snapshot)); };
-  Hooks.OnMembers = [this](const auto &Members) { onMembers(Members); };
+  Hooks.OnMembers = [this](const auto &) { onMembers(); };
   Hooks.OnRecord = [this](const auto &Record) { onRecord(Record); };
   Hooks.OnReport = [this](const auto &Report) {
     Rollouts->onReport(Report, Timers.now());
@@ -113,7 +116,9 @@
   Hooks.OnMemberReport = [this](const auto &Report) {
     Rollouts->onMemberReport(Report);
   };
-  Hooks.OnLog = [](const std::string &Line) { transport::log::info(Line); };
+  Hooks.OnLog = [](const std::string &Line) {
+    transport::logLine(log_level::Info, Line);
+  };
   Control = std::make_unique<transport::control_plane>(
       Context, Platform, std::move(Options), std::move(Hooks));
 
@@ -125,11 +130,11 @@
   Sinks.Acknowledge = [this](auto Positions) {
     Control->setDirectives(std::move(Positions));
   };
-  Sinks.Log = [](const std::string &Line) { transport::log::info(Line); };
   Rollouts = std::make_unique<rollout_runtime>(
       rollout_options{Settings.Environment, Settings.Instance,
                       Settings.DataCentre},
-      std::move(Sinks), Platform, Control->coordinatorSeat(), View, Timers);
+      std::move(Sinks), Platform, Control->agent().coordinatorSeat(), View,
+      Timers);
 
   transport::data_plane_options DataOptions;
   DataOptions.Instance = Settings.Instance;
@@ -220,8 +225,6 @@
 
 void daemon::onSnapshot(std::shared_ptr<const state::snapshot> Snapshot) {
   View.setSnapshot(Snapshot);
-  transport::log::info("event=in_force version=" +
-                       std::to_string(Snapshot->Version));
   std::int64_t AcceptedUnixMs = 0;
   control::head Head;
   const auto *Record = Control->agent().store().findRecord(
@@ -232,8 +235,11 @@
   Rollouts->onSnapshot(std::move(Snapshot), AcceptedUnixMs, Timers.now());
 }
 
-void daemon::onMembers(const std::vector<control::member> &Members) {
+void daemon::onMembers() {
   const time_point Now = Timers.now();
+  std::vector<control::member> Members;
+  for (const auto &[Instance, Entry] : Control->agent().store().members())
+    Members.push_back(Entry.Member);
   View.setMembers(Members, Now);
   Rollouts->onMembers(Members, Now);
   const auto Count = [&Members](control::member_status Status) {
@@ -253,8 +259,8 @@
   if (const auto Sighting = decodeSighting(Record)) {
     const time_point Now = Timers.now();
     if (Poison.addSighting(*Sighting, Now))
-      transport::log::warn("event=poison_request fingerprint=" +
-                           std::to_string(Sighting->Fingerprint));
+      logEvent(log_level::Warn, "poison_request",
+               {{"fingerprint", Sighting->Fingerprint}});
     refreshPoison(Now);
   }
 }
@@ -270,12 +276,14 @@
   Upstream = std::move(Announcement);
   if (!Changed)
     return;
-  transport::log::info(Upstream
-                           ? "event=upstream service=" + Upstream->Service +
-                                 " version=" + Upstream->Version +
-                                 " address=" + Upstream->Address +
-                                 " draining=" + (Upstream->Draining ? "1" : "0")
-                           : std::string("event=upstream_gone"));
+  if (Upstream)
+    logEvent(log_level::Info, "upstream",
+             {{"service", Upstream->Service},
+              {"version", Upstream->Version},
+              {"address", Upstream->Address},
+              {"draining", Upstream->Draining}});
+  else
+    logEvent(log_level::Warn, "upstream_gone", {});
   setTargets();
 }
 
@@ -294,12 +302,12 @@
 
 void daemon::onCrash(const std::vector<state::crash_sighting> &Sightings) {
   const time_point Now = Timers.now();
-  transport::log::warn("event=upstream_crash in_flight=" +
-                       std::to_string(Sightings.size()));
+  logEvent(log_level::Warn, "upstream_crash",
+           {{"in_flight", Sightings.size()}});
   for (const state::crash_sighting &Sighting : Sightings) {
     if (Poison.addSighting(Sighting, Now))
-      transport::log::warn("event=poison_request fingerprint=" +
-                           std::to_string(Sighting.Fingerprint));
+      logEvent(log_level::Warn, "poison_request",
+               {{"fingerprint", Sighting.Fingerprint}});
     Control->publish(encodeSighting(Sighting));
   }
   refreshPoison(Now);
@@ -322,7 +330,7 @@
 void daemon::onTick(time_point Now) {
   Poison.expire(Now);
   refreshPoison(Now);
-  Rollouts->tick(Now, Control->platformDown());
+  Rollouts->tick(Now, Control->agent().platformDown());
   updateMetrics(Now);
 }
 
@@ -373,12 +381,13 @@
   Signals.add(SIGINT);
   Signals.add(SIGHUP);
   awaitSignal();
-  transport::log::info("event=started instance=" + Settings.Instance +
-                       " data=" + Settings.DataAddress +
-                       " control=" + Settings.ControlAddress +
-                       " admin=" + Settings.AdminAddress);
+  logEvent(log_level::Info, "started",
+           {{"instance", Settings.Instance},
+            {"data", Settings.DataAddress},
+            {"control", Settings.ControlAddress},
+            {"admin", Settings.AdminAddress}});
   Context.run();
-  transport::log::info("event=stopped");
+  logEvent(log_level::Info, "stopped", {});
 }
 
 void daemon::awaitSignal() {
@@ -392,19 +401,22 @@
 
 void daemon::onSignal(int Number) {
   if (Number == SIGHUP) {
-    transport::log::reopen();
-    transport::log::info("event=logs_reopened");
+    const auto Reopened = transport::reopenLog();
+    if (!Reopened)
+      std::cerr << "hyssopd: " << Reopened.error().text() << "\n";
+    else
+      logEvent(log_level::Info, "log_reopened", {});
     return;
   }
   if (Leaving)
     return;
   Leaving = true;
-  transport::log::info("event=draining");
+  logEvent(log_level::Info, "draining", {});
   // Others learn of the drain first; until then they get true refusals.
   setTargets();
   Data->drain([this] {
     boost::asio::post(Context, [this] {
-      transport::log::info("event=drained");
+      logEvent(log_level::Info, "drained", {});
       Control->leave([this] { Context.stop(); });
     });
   });
--- a/apps/hyssopd/daemon.h
+++ b/apps/hyssopd/daemon.h
@@ -43,7 +43,7 @@
 
   //--- Events, control thread -------------------------------------------------
   void onSnapshot(std::shared_ptr<const state::snapshot> Snapshot);
-  void onMembers(const std::vector<control::member> &Members);
+  void onMembers();
   void onRecord(const control::gossip_record &Record);
   void onAnnouncement(std::optional<state::upstream_announcement> Announcement);
   void onCrash(const std::vector<state::crash_sighting> &Sightings);
--- a/apps/hyssopd/main.cpp
+++ b/apps/hyssopd/main.cpp
@@ -36,16 +36,21 @@
     std::cout << "settings are valid: " << Path << "\n";
     return Fine;
   }
+  const auto Level = transport::parseLogLevel(Settings.value().LogLevel);
+  if (!Level) {
+    std::cerr << "hyssopd: " << Level.error().text() << "\n";
+    return Failed;
+  }
   auto Logging =
-      transport::log::open(Settings.value().LogFile, Settings.value().LogLevel);
+      transport::setUpLogging({Settings.value().LogFile, Level.value()});
   if (!Logging) {
     std::cerr << "hyssopd: " << Logging.error().text() << "\n";
     return Failed;
   }
   auto Daemon = hyssopd::daemon::open(Settings.value());
   if (!Daemon) {
-    transport::log::error("event=start_failed reason=\"" +
-                          Daemon.error().text() + "\"");
+    transport::logEvent(transport::log_level::Error, "start_failed",
+                        {{"reason", Daemon.error().text()}});
     std::cerr << "hyssopd: " << Daemon.error().text() << "\n";
     return Failed;
   }
--- a/apps/hyssopd/rollout_runtime.cpp
+++ b/apps/hyssopd/rollout_runtime.cpp
@@ -1,5 +1,7 @@
 #include "apps/hyssopd/rollout_runtime.h"
 
+#include "hyssopledge/transport/logging.h"
+
 #include <chrono>
 #include <set>
 #include <utility>
@@ -9,6 +11,8 @@
 namespace {
 
 using namespace std::chrono_literals;
+using transport::log_level;
+using transport::logEvent;
 
 constexpr std::chrono::milliseconds SliceLength = 2000ms;
 
@@ -74,11 +78,12 @@
     refresh();
     const state::rollout_directive &Directive =
         Directives->ByService.at(Record.key());
-    Hooks.Log("event=directive service=" + Directive.Service +
-              " to=" + Directive.ToVersion +
-              " generation=" + std::to_string(Directive.Generation) +
-              " step=" + std::to_string(Directive.Step) +
-              " share=" + std::to_string(Directive.Share));
+    logEvent(log_level::Info, "directive",
+             {{"service", Directive.Service},
+              {"to", Directive.ToVersion},
+              {"generation", Directive.Generation},
+              {"step", Directive.Step},
+              {"share", Directive.Share}});
     Hooks.Acknowledge(Book.positions());
   } else if (Record.kind() == control::RECORD_VOTE) {
     const auto Added = Votes.add(Record);
@@ -98,10 +103,11 @@
 }
 
 void rollout_runtime::vote(const control::vote &Vote) {
-  Hooks.Log("event=vote service=" + Vote.service() +
-            " version=" + Vote.version() +
-            " generation=" + std::to_string(Vote.generation()) + " reason=\"" +
-            Vote.reason() + "\"");
+  logEvent(log_level::Warn, "vote",
+           {{"service", Vote.service()},
+            {"version", Vote.version()},
+            {"generation", Vote.generation()},
+            {"reason", Vote.reason()}});
   Votes.add(Vote);
   Hooks.Publish(coordination::encodeVote(Vote));
 }
--- a/apps/hyssopd/rollout_runtime.h
+++ b/apps/hyssopd/rollout_runtime.h
@@ -8,6 +8,7 @@
 #include "hyssopledge/coordination/directive_book.h"
 #include "hyssopledge/coordination/evidence.h"
 #include "hyssopledge/coordination/version_voter.h"
+#include "hyssopledge/state/timer_service.h"
 
 #include <functional>
 #include <memory>
@@ -27,7 +28,6 @@
   std::function<void(control::gossip_record)> Publish;
   std::function<void(control::reporter_evidence)> SendEvidence;
   std::function<void(std::vector<control::directive_position>)> Acknowledge;
-  std::function<void(const std::string &)> Log; // one line of key=value
 };
 
 /// Control thread only, but for record().
--- a/hyssopledge/transport/logging.cpp
+++ b/hyssopledge/transport/logging.cpp
@@ -165,10 +165,15 @@
 
 void logEvent(log_level Level, std::string_view Event,
               const std::vector<log_field> &Fields) {
+  if (logEnabled(Level))
+    logLine(Level, formatEvent(Event, Fields));
+}
+
+void logLine(log_level Level, const std::string &Line) {
   if (!logEnabled(Level))
     return;
-  LOG4CXX_DECODE_CHAR(Line, formatEvent(Event, Fields));
-  logger()->forcedLogLS(toLog4cxx(Level), Line,
+  LOG4CXX_DECODE_CHAR(Decoded, Line);
+  logger()->forcedLogLS(toLog4cxx(Level), Decoded,
                         log4cxx::spi::LocationInfo::getLocationUnavailable());
 }
 
--- a/hyssopledge/transport/logging.h
+++ b/hyssopledge/transport/logging.h
@@ -54,5 +54,7 @@
 bool logEnabled(log_level Level);
 void logEvent(log_level Level, std::string_view Event,
               const std::vector<log_field> &Fields);
+/// A line that is formatted already, from a layer below this one.
+void logLine(log_level Level, const std::string &Line);
 
 } // namespace hyssopledge::transport
