--- a/hyssopledge/transport/admin_server.cpp
+++ b/hyssopledge/transport/admin_server.cpp
@@ -47,7 +47,7 @@
   }
 
   std::string address() {
-    const std::string Text = text("address");
+    std::string Text = text("address");
     if (!Text.empty() && parseEndpoint(Text).has_error())
       wrong("address", Text, "\"ip:port\"");
     return Text;
--- a/tools/upstream_standin/main.cpp
+++ b/tools/upstream_standin/main.cpp
@@ -161,13 +161,13 @@
         Work->Nested->cancel();
     });
     Work->Timer.expires_after(latency(Path));
-    Work->Timer.async_wait([this, Call = std::move(Call), Work](
-                               const boost::system::error_code &Error) mutable {
+    Work->Timer.async_wait([this, Call = std::move(Call),
+                            Work](const boost::system::error_code &Error) {
       if (Error || Work->Gone) {
         --Running;
         return;
       }
-      nest(std::move(Call), Work, 0);
+      nest(Call, Work, 0);
     });
   }
 
@@ -196,10 +196,11 @@
   }
 
   /// Makes the nested calls one after the other, then answers.
-  void nest(call Call, const std::shared_ptr<work> &Work, std::size_t Index) {
+  void nest(const call &Call, const std::shared_ptr<work> &Work,
+            std::size_t Index) {
     const http_request &Request = Call->request();
     if (Index >= Options.NestedPaths.size())
-      return finish(std::move(Call));
+      return finish(Call);
     http_request Nested(http::verb::get, Options.NestedPaths[Index], 11);
     Nested.set(http::field::host, Options.Daemon);
     for (const char *Name : {headers::TraceParent, headers::DeadlineMs,
@@ -213,7 +214,7 @@
     Work->Nested = Pool.send(
         Options.Daemon, std::move(Nested),
         boot_clock::now() + std::chrono::milliseconds(Left),
-        [this, Call, Work, Index](transport::exchange_result Result) mutable {
+        [this, Call, Work, Index](const transport::exchange_result &Result) {
           Work->Nested = nullptr;
           if (Work->Gone) {
             --Running;
@@ -221,7 +222,7 @@
           }
           if (Result.End == transport::exchange_end::Whole &&
               Result.Response.result_int() < 500)
-            return nest(std::move(Call), Work, Index + 1);
+            return nest(Call, Work, Index + 1);
           --Running;
           http_response Response =
               transport::plainAnswer(502, "text/plain", "nested call failed\n");
@@ -232,7 +233,7 @@
         });
   }
 
-  void finish(call Call) {
+  void finish(const call &Call) {
     --Running;
     const http_request &Request = Call->request();
     if (fails(std::string(Request.target())))
