--- a/hyssopledge/state/picker.cpp
+++ b/hyssopledge/state/picker.cpp
@@ -17,9 +17,13 @@
 // influence raised p99 with false reports and lowered it nowhere.
 constexpr std::chrono::seconds HintLifetime{2};
 constexpr double HintInfluence = 0.2;
-// A high latency that was measured long ago fades, so that a target which was
-// slow once is tried again.
-constexpr double LatencyFadeSeconds = 10;
+// High latency and failures that were seen long ago fade, so that a target
+// which did badly once is used again.
+constexpr double FadeSeconds = 10;
+// Share of first attempts that try a target after its ejection. A failed trial
+// of an idempotent call is retried, another one is lost.
+constexpr double TrialShare = 0.25;
+constexpr double TrialShareNotIdempotent = 0.02;
 // Another data centre is used when the local choice scores this much worse.
 // 2.5 raised p99 with single slow local targets, 1.0 raised p50.
 constexpr double LocalPreference = 1.5;
@@ -135,8 +139,9 @@
   double FailureRate = 0;
   std::uint32_t InFlight = 0;
   bool Ejected = false;
-  double Weight = 1; // in the random draw, below 1 in warm-up
-  double Score = 0;  // lower is better
+  bool OnTrial = false; // its ejection is over and no call has shown it well
+  double Weight = 1;    // in the random draw, below 1 in warm-up
+  double Score = 0;     // lower is better
 };
 
 using candidate_list = std::vector<candidate>;
@@ -189,6 +194,8 @@
     dropEjected(All);
     score(All, Request.Now);
     draws Draws(Request.Random);
+    if (const candidate *OnTrial = drawTrial(All, Request, Draws))
+      return picked_target{*OnTrial->Target, Choice.NewVersion};
     candidate_list Remote;
     if (!LocalDataCentre.empty()) {
       const auto Split =
@@ -227,16 +234,30 @@
         C.InFlight = C.Stats->InFlight.load(std::memory_order_relaxed);
         const auto Until =
             C.Stats->EjectedUntilNs.load(std::memory_order_relaxed);
-        // After the ejection one call at a time tries the target, until one
-        // succeeds.
-        C.Ejected = Until != 0 &&
-                    (Now.time_since_epoch().count() < Until || C.InFlight > 0);
+        // One call at a time tries the target, until one succeeds.
+        C.OnTrial = Until != 0 && Now.time_since_epoch().count() >= Until &&
+                    C.InFlight == 0;
+        C.Ejected = Until != 0 && !C.OnTrial;
       }
       All.push_back(std::move(C));
     }
     return All;
   }
 
+  /// A target on trial scores worse than all others, so it is drawn apart, or
+  /// it would never come back.
+  static const candidate *drawTrial(const candidate_list &All,
+                                    const pick_request &Request, draws &Draws) {
+    if (!Request.History.TriedInstances.empty())
+      return nullptr; // a retry should meet a good target
+    const double Share =
+        Request.Route.Idempotent ? TrialShare : TrialShareNotIdempotent;
+    for (const candidate &C : All)
+      if (C.OnTrial && Draws.unit() < Share)
+        return &C;
+    return nullptr;
+  }
+
   /// Keeps at least half of the targets, so that a fault which all of them
   /// share does not concentrate the load on a few.
   static void dropEjected(candidate_list &All) {
@@ -263,18 +284,20 @@
       Median = *Middle;
     }
     for (candidate &C : All) {
-      double Latency = C.LatencyMs > 0 ? C.LatencyMs : Median;
-      if (C.Stats && Latency > Median) {
+      const double Latency = C.LatencyMs > 0 ? C.LatencyMs : Median;
+      double Fade = 1;
+      if (C.Stats) {
         const std::chrono::duration<double> Age =
             Now.time_since_epoch() -
             boot_clock::duration(
-                C.Stats->LatencyAtNs.load(std::memory_order_relaxed));
-        Latency = Median + (Latency - Median) *
-                               std::exp(-Age.count() / LatencyFadeSeconds);
+                C.Stats->SampleAtNs.load(std::memory_order_relaxed));
+        Fade = std::exp(-Age.count() / FadeSeconds);
       }
+      const double Faded =
+          Latency > Median ? Median + (Latency - Median) * Fade : Latency;
       // A target that fails fast would otherwise look attractive.
-      C.Score = Latency * (C.InFlight + 1) / std::max(0.05, 1 - C.FailureRate) *
-                hintFactor(C, Now);
+      C.Score = Faded * (C.InFlight + 1) /
+                std::max(0.05, 1 - C.FailureRate * Fade) * hintFactor(C, Now);
     }
   }
 
--- a/hyssopledge/state/target_stats.cpp
+++ b/hyssopledge/state/target_stats.cpp
@@ -92,8 +92,8 @@
         return Old;
       return Old + SampleWeight * (Sample - Old);
     });
-    Stats->LatencyAtNs.store(nanoseconds(Now), std::memory_order_relaxed);
   }
+  Stats->SampleAtNs.store(nanoseconds(Now), std::memory_order_relaxed);
   if (Success || Failure)
     state::update(Stats->FailureRate, [&](double Old) {
       return Old + SampleWeight * ((Failure ? 1.0 : 0.0) - Old);
--- a/hyssopledge/state/target_stats.h
+++ b/hyssopledge/state/target_stats.h
@@ -37,7 +37,7 @@
       0}; // slots used and queued, from the last response
   std::atomic<std::uint32_t> HintSlots{0};
   std::atomic<std::int64_t> HintAtNs{0};    // when the hint came
-  std::atomic<std::int64_t> LatencyAtNs{0}; // when LatencyMs last changed
+  std::atomic<std::int64_t> SampleAtNs{0}; // when an attempt last ended
 };
 
 /// Failures in a row after which this daemon ejects a target by itself.
