--- a/tests/support/call_fake.h
+++ b/bench/call_model.h
@@ -3,14 +3,14 @@
 /// queue of messages with seeded delays and faults. Records a call_history.
 #pragma once
 
+#include "bench/call_model_parts.h"
 #include "bench/event_queue.h"
-#include "tests/support/call_parts.h"
 
-namespace hyssopledge::tests {
+namespace hyssopledge::bench {
 
-class call_fake {
+class call_model {
 public:
-  call_fake(std::uint64_t Seed, omission Without)
+  call_model(std::uint64_t Seed, omission Without)
       : Engine(Seed), Without(Without), HomesChange(chance(0.5)) {
     buildView();
     for (std::size_t I = 0; I < View.Targets->Targets.size(); ++I) {
@@ -523,7 +523,7 @@
   state::random_engine Engine;
   omission Without;
   bool HomesChange; // by leaves, restarts, verdicts or the rollout share
-  bench::event_queue Events;
+  event_queue Events;
   state::routing_view View;
   std::vector<std::unique_ptr<entry_side>> Entries;
   std::vector<std::unique_ptr<target_side>> Targets;
@@ -535,4 +535,4 @@
   state::ticket LastTicket = 0;
 };
 
-} // namespace hyssopledge::tests
+} // namespace hyssopledge::bench
--- a/tests/support/call_parts.h
+++ b/bench/call_model_parts.h
@@ -1,5 +1,5 @@
 /// \file
-/// What call_fake keeps of each entry side, target side, send and connection.
+/// What call_model keeps of each entry side, target side, send and connection.
 #pragma once
 
 #include "hyssopledge/state/admission.h"
@@ -14,7 +14,12 @@
 #include <memory>
 #include <optional>
 
-namespace hyssopledge::tests {
+namespace hyssopledge::bench {
+
+using tests::answer_kind;
+using tests::call_history;
+using tests::operation_id;
+using tests::send_id;
 
 /// A mechanism that a run leaves out, so that a checker must find a violation.
 enum class omission {
@@ -80,4 +85,4 @@
   std::map<state::ticket, work> Work; // admitted, by send
 };
 
-} // namespace hyssopledge::tests
+} // namespace hyssopledge::bench
--- /dev/null
+++ b/bench/retry_chain.h
@@ -0,0 +1,66 @@
+/// \file
+/// A call chain of 10 hops whose deepest one fails, with the real retry rule.
+#pragma once
+
+#include "hyssopledge/state/random.h"
+#include "hyssopledge/state/retry.h"
+
+#include <memory>
+#include <vector>
+
+namespace hyssopledge::bench {
+
+constexpr unsigned Depth = 10;
+
+/// Daemons of one hop share a budget, as they see the same mix of calls.
+class chain {
+public:
+  chain(double FailureShare, bool WholeDepth, std::uint64_t Seed)
+      : FailureShare(FailureShare), WholeDepth(WholeDepth), Engine(Seed) {
+    for (unsigned I = 0; I < Depth; ++I)
+      Budgets.push_back(std::make_unique<state::retry_budget>(0.1, 10));
+  }
+
+  struct answer {
+    bool Success = false;
+    bool Retried = false; // a hop has spent retries on this failure
+  };
+
+  answer call(unsigned Hop, std::uint32_t Attempts) {
+    if (Hop == Depth) {
+      ++Executions;
+      return {state::unitInterval(Engine()) >= FailureShare, false};
+    }
+    Budgets[Hop]->recordCall();
+    for (std::uint32_t Made = 1;; ++Made) {
+      answer Answer = call(
+          Hop + 1, WholeDepth ? state::attemptsLeftBelow(Attempts, Made) : 3);
+      if (Answer.Success)
+        return Answer;
+      if (WholeDepth) {
+        state::retry_request Request;
+        Request.Outcome = state::attempt_outcome::Failed;
+        Request.Idempotent = true;
+        Request.AnsweredAlreadyRetried = Answer.Retried;
+        Request.AttemptsLeft = Attempts - Made;
+        Request.Deadline = state::time_point::max();
+        if (state::decideRetry(Request, *Budgets[Hop]) ==
+            state::retry_decision::Retry)
+          continue;
+      } else if (Made < 3) {
+        continue;
+      }
+      return {false, Answer.Retried || Made > 1};
+    }
+  }
+
+  std::uint64_t Executions = 0; // at the deepest hop
+
+private:
+  double FailureShare;
+  bool WholeDepth;
+  state::random_engine Engine;
+  std::vector<std::unique_ptr<state::retry_budget>> Budgets;
+};
+
+} // namespace hyssopledge::bench
--- /dev/null
+++ b/tests/admission_test.cpp
@@ -0,0 +1,199 @@
+/// \file
+/// Guards slots, queue and drain: work for an upstream that left, a waiting
+/// request that is lost, work that can't end before its deadline.
+#include "hyssopledge/state/admission.h"
+
+#include <doctest/doctest.h>
+#include <functional>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace hyssopledge::state;
+using std::chrono::seconds;
+
+namespace {
+
+const time_point Start{std::chrono::hours(1)};
+
+upstream_announcement announcement(std::uint32_t Slots = 0) {
+  upstream_announcement Announcement;
+  Announcement.Service = "bookings";
+  Announcement.Version = "v1";
+  Announcement.Slots = Slots;
+  return Announcement;
+}
+
+admission serving(admission_limits Limits) {
+  admission Admission(Limits);
+  Admission.announce(announcement(), Start);
+  return Admission;
+}
+
+result<admission_verdict> admit(admission &Admission, ticket Ticket,
+                                time_point Now, seconds Left = seconds(60)) {
+  return Admission.admit(Ticket, "bookings", "v1", Now + Left, Now);
+}
+
+} // namespace
+
+TEST_CASE("a request that can't run is refused as not run, with the reason") {
+  struct refusal_case {
+    const char *Name;
+    std::function<void(admission &)> Prepare;
+    milliseconds Later;
+    milliseconds Left; // until the deadline
+    const char *Version;
+    errc Expected;
+  };
+  const milliseconds Long{60000};
+  const refusal_case Cases[] = {
+      {"expired", [](auto &) {}, milliseconds(3000), Long, "v1",
+       errc::NoTarget},
+      {"other version", [](auto &) {}, milliseconds(0), Long, "v2",
+       errc::NoTarget},
+      {"upstream drains",
+       [](auto &A) {
+         auto Leaving = announcement();
+         Leaving.Draining = true;
+         A.announce(Leaving, Start);
+       },
+       milliseconds(0), Long, "v1", errc::Draining},
+      {"daemon drains", [](auto &A) { A.startDrain(); }, milliseconds(0), Long,
+       "v1", errc::Draining},
+      {"deadline", [](auto &) {}, milliseconds(0), milliseconds(0), "v1",
+       errc::Timeout},
+      {"queue full",
+       [](auto &A) {
+         for (ticket T = 1; T <= 3; ++T)
+           CHECK(admit(A, T, Start).has_value());
+       },
+       milliseconds(0), Long, "v1", errc::Overloaded},
+      {"no slot before the deadline",
+       [](auto &A) { // mean run time 100 ms; the slot is taken
+         CHECK(admit(A, 1, Start).has_value());
+         A.finish(1, milliseconds(100), Start);
+         CHECK(admit(A, 2, Start).has_value());
+       },
+       milliseconds(0), milliseconds(199), "v1", errc::Overloaded},
+  };
+  for (const refusal_case &Case : Cases) {
+    CAPTURE(Case.Name);
+    admission Admission = serving({1, 2});
+    Case.Prepare(Admission);
+    const time_point Now = Start + Case.Later;
+    const auto Verdict =
+        Admission.admit(99, "bookings", Case.Version, Now + Case.Left, Now);
+    REQUIRE(Verdict.has_error());
+    CHECK(Verdict.error().is(Case.Expected));
+  }
+}
+
+TEST_CASE("an announcement lasts 3 s, also for requests that wait") {
+  admission Admission = serving({1, 5});
+  CHECK(admit(Admission, 1, Start).value() == admission_verdict::Run);
+  CHECK(admit(Admission, 2, Start).value() == admission_verdict::Queued);
+  CHECK(Admission.serving(Start + seconds(3) - milliseconds(1)).has_value());
+  CHECK(Admission.expire(Start + milliseconds(2999)).empty());
+  SUBCASE("silence") {
+    CHECK(!Admission.serving(Start + seconds(3)).has_value());
+  }
+  SUBCASE("replaced by another version") {
+    auto Other = announcement();
+    Other.Version = "v2";
+    Admission.announce(Other, Start + seconds(2));
+  }
+  const auto Released =
+      Admission.finish(1, milliseconds(10), Start + seconds(3));
+  REQUIRE(Released.size() == 1);
+  CHECK(Released[0].Ticket == 2);
+  REQUIRE(Released[0].Refusal.has_value());
+  CHECK(Released[0].Refusal->is(errc::NoTarget));
+}
+
+TEST_CASE("a drain finishes what was admitted or waits") {
+  admission Admission = serving({1, 5});
+  admit(Admission, 1, Start).value();
+  admit(Admission, 2, Start).value();
+  Admission.startDrain();
+  CHECK(!Admission.drained());
+  const auto Released = Admission.finish(1, milliseconds(10), Start);
+  REQUIRE(Released.size() == 1);
+  CHECK(!Released[0].Refusal.has_value());
+  CHECK(!Admission.drained());
+  CHECK(Admission.finish(2, milliseconds(10), Start).empty());
+  CHECK(Admission.drained());
+}
+
+TEST_CASE("slots follow the limits and the upstream, and recover in speed") {
+  admission Admission = serving({4, 5});
+  Admission.announce(announcement(2), Start);
+  CHECK(Admission.slots() == 2);
+  Admission.announce(announcement(9), Start);
+  CHECK(Admission.slots() == 4);
+  // A mean above every deadline must not refuse for ever.
+  admit(Admission, 1, Start).value();
+  Admission.finish(1, seconds(100), Start);
+  for (ticket T = 2; T < 100; ++T) {
+    REQUIRE(admit(Admission, T, Start, seconds(1)).has_value());
+    Admission.finish(T, milliseconds(10), Start);
+  }
+}
+
+TEST_CASE("each request runs at most once or is refused, within the slots") {
+  const bool Held = rc::check([] {
+    const auto Slots = *rc::gen::inRange(1U, 4U);
+    admission Admission = serving({Slots, 3});
+    time_point Now = Start;
+    time_point Announced = Start;
+    std::set<ticket> Running;
+    std::set<ticket> Waiting;
+    const auto Settle = [&](const std::vector<admission_release> &All) {
+      for (const admission_release &Release : All) {
+        RC_ASSERT(Waiting.erase(Release.Ticket) == 1U);
+        if (Release.Refusal)
+          continue;
+        RC_ASSERT(Now - Announced < seconds(3));
+        Running.insert(Release.Ticket);
+      }
+    };
+    for (ticket Ticket = 1; Ticket < 60; ++Ticket) {
+      Now += milliseconds(*rc::gen::inRange(0, 300));
+      switch (*rc::gen::inRange(0, 6)) {
+      case 0:
+        Admission.announce(announcement(), Announced = Now);
+        break;
+      case 1:
+        Settle(Admission.expire(Now));
+        break;
+      case 2:
+        if (!Waiting.empty()) {
+          Admission.cancel(*Waiting.begin());
+          Waiting.erase(Waiting.begin());
+        }
+        break;
+      case 3:
+        if (!Running.empty()) {
+          const ticket Ended = *Running.begin();
+          Running.erase(Ended);
+          Settle(Admission.finish(
+              Ended, milliseconds(*rc::gen::inRange(0, 500)), Now));
+        }
+        break;
+      default: {
+        const auto Verdict =
+            admit(Admission, Ticket, Now, seconds(*rc::gen::inRange(0, 3)));
+        if (Verdict.has_value()) {
+          RC_ASSERT(Now - Announced < seconds(3));
+          (Verdict.value() == admission_verdict::Run ? Running : Waiting)
+              .insert(Ticket);
+        }
+      }
+      }
+      RC_ASSERT(Running.size() <= Slots);
+      RC_ASSERT(Admission.running() == Running.size());
+      RC_ASSERT(Admission.queued() == Waiting.size());
+    }
+  });
+  CHECK(Held);
+}
--- a/tests/call_history_test.cpp
+++ b/tests/call_history_test.cpp
@@ -2,12 +2,15 @@
 /// Guards the promises about calls under generated schedules of delays, losses,
 /// cuts, crashes, freezes, leaves and callers that send again. To repeat one
 /// schedule: HYSSOPLEDGE_SCHEDULE=<seed> build/tests/call_history_test
-#include "tests/support/call_fake.h"
+#include "bench/call_model.h"
 
 #include <cstdlib>
 #include <doctest/doctest.h>
+#include <optional>
 
 using namespace hyssopledge::tests;
+using hyssopledge::bench::call_model;
+using hyssopledge::bench::omission;
 
 namespace {
 
@@ -24,7 +27,7 @@
                                       std::uint64_t Last,
                                       const std::string &OnlyChecker = {}) {
   for (std::uint64_t Seed = First; Seed < Last; ++Seed) {
-    const call_history History = call_fake(Seed, Without).run();
+    const call_history History = call_model(Seed, Without).run();
     for (const call_checker &Checker : CallCheckers) {
       if (!OnlyChecker.empty() && OnlyChecker != Checker.Name)
         continue;
@@ -78,8 +81,8 @@
 }
 
 TEST_CASE("a seed repeats its schedule") {
-  const auto First = call_fake(7, omission::None).run();
-  const auto Second = call_fake(7, omission::None).run();
+  const auto First = call_model(7, omission::None).run();
+  const auto Second = call_model(7, omission::None).run();
   REQUIRE(First.Executions.size() == Second.Executions.size());
   for (std::size_t I = 0; I < First.Executions.size(); ++I)
     CHECK(First.Executions[I].At == Second.Executions[I].At);
