Compare only calls made under the step in force

Cause: after a change of the share the first reports held calls from before it, so a fault or surge of both versions weighed more on one of them. Evidence now names the directive under which the calls were made; the coordinator drops that of other steps. Ruled out: a pause after each step, which would leave 4 s without a test exactly when a version sees more load.

--- a/bench/rollout_model.cpp
+++ b/bench/rollout_model.cpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <cmath>
 #include <random>
-#include <tuple>
 #include <utility>
 
 namespace hyssopledge::bench {
@@ -61,6 +60,14 @@
   return Table;
 }
 
+struct report_entry {
+  int ArrivesAt;
+  std::uint64_t Step;
+  std::string Reporter;
+  coordination::stratum_key Key;
+  evidence_cell Cell;
+};
+
 struct target {
   unsigned Centre = 0;
   double Speed = 1; // factor of the time of a call
@@ -105,8 +112,10 @@
     const int End = static_cast<int>(
         (Spec.CompleteWithin + Spec.WatchAfterward).count() + 200);
     for (Now = 0; Now < End; ++Now) {
-      if (Now >= ChangeAt)
+      if (Now >= ChangeAt && InForce.Step != Current.Step) {
+        report(); // under the step that was in force
         InForce = Current;
+      }
       Result.LargestShare = std::max(Result.LargestShare, InForce.Share);
       if (InForce.Share >= 1 && Result.CompleteAt < 0)
         Result.CompleteAt = Now;
@@ -273,25 +282,27 @@
           At / Deployment.Reporters / Routes % Deployment.Centres;
       const std::size_t Version =
           At / Deployment.Reporters / Routes / Deployment.Centres;
-      Travelling.emplace_back(
-          "d" + std::to_string(Reporter),
-          coordination::stratum_key{
-              Version == 1 ? "v2" : "v1", "r" + std::to_string(Route),
-              "dc" + std::to_string(Reporter % Deployment.Centres),
-              "dc" + std::to_string(Centre)},
-          Cell);
+      Travelling.push_back(
+          {Now + ReportDelay, InForce.Step, "d" + std::to_string(Reporter),
+           coordination::stratum_key{
+               Version == 1 ? "v2" : "v1", "r" + std::to_string(Route),
+               "dc" + std::to_string(Reporter % Deployment.Centres),
+               "dc" + std::to_string(Centre)},
+           Cell});
     }
     Pending.clear();
-    ArrivesAt = Now + ReportDelay;
   }
 
   void decide() {
-    if (Now == ArrivesAt) {
-      for (const auto &[Reporter, Key, Cell] : Travelling)
-        Series.add(Reporter, Key, Cell);
-      Travelling.clear();
+    std::erase_if(Travelling, [&](const report_entry &Entry) {
+      if (Entry.ArrivesAt > Now)
+        return false;
+      if (Entry.Step == Current.Step)
+        Series.add(Entry.Reporter, Entry.Key, Entry.Cell);
+      return true;
+    });
+    if (Now % 2 == 0)
       Series.closeSlice();
-    }
     const auto Seconds = [](int Count) { return std::chrono::seconds(Count); };
     auto Action = Policy.decide(
         {.Spec = Spec,
@@ -314,6 +325,8 @@
       Series.markStep();
       StepAt = Now;
     }
+    if (Action->Share != Current.Share || Action->Phase != Current.Phase)
+      ++Current.Step;
     Current.Share = Action->Share;
     Current.Phase = Action->Phase;
     Result.RolledBack = Current.Phase == rollout_phase::RolledBack;
@@ -335,12 +348,10 @@
   int StepAt = 0;
   int FullAt = -1;
   int ChangeAt = 0;
-  int ArrivesAt = -1;
   state::rollout_directive Current, InForce;
   evidence_series Series;
   std::vector<evidence_cell> Pending;
-  std::vector<std::tuple<std::string, coordination::stratum_key, evidence_cell>>
-      Travelling;
+  std::vector<report_entry> Travelling;
   model_result Result;
 };
 
--- a/hyssopledge/coordination/coordinator.cpp
+++ b/hyssopledge/coordination/coordinator.cpp
@@ -63,7 +63,12 @@
   for (const control::reporter_evidence &From : Report.evidence())
     for (const control::evidence &Entry : From.entries()) {
       auto Found = Rollouts.find(Entry.service());
-      if (Found == Rollouts.end() || Found->second.Evidence == nullptr)
+      if (Found == Rollouts.end() || !Found->second.Record)
+        continue;
+      // Calls made under an earlier step are not of the period compared.
+      const control::rollout_record &Record = *Found->second.Record;
+      if (Entry.directive() !=
+          directiveRevision(Record.generation(), Record.step()))
         continue;
       const auto [Key, Cell] = decodeEvidence(Entry);
       Found->second.Evidence->add(From.reporter(), Key, Cell);
--- a/hyssopledge/coordination/directive_book.cpp
+++ b/hyssopledge/coordination/directive_book.cpp
@@ -93,6 +93,13 @@
   return Table;
 }
 
+std::map<std::string, std::uint64_t> directive_book::revisions() const {
+  std::map<std::string, std::uint64_t> Revisions;
+  for (const auto &[Service, Record] : Records)
+    Revisions[Service] = Record.revision();
+  return Revisions;
+}
+
 std::vector<control::directive_position> directive_book::positions() const {
   std::vector<control::directive_position> Positions;
   for (const auto &[Service, Directive] : Directives) {
--- a/hyssopledge/coordination/directive_book.h
+++ b/hyssopledge/coordination/directive_book.h
@@ -39,6 +39,8 @@
   std::shared_ptr<const state::verdict_table>
   verdicts(const vote_set &Votes, const electorate &Electorate) const;
 
+  /// Revisions in force by service, for evidence_recorder::drain.
+  std::map<std::string, std::uint64_t> revisions() const;
   /// For the acknowledgement to the coordinator.
   std::vector<control::directive_position> positions() const;
   /// To be gossiped.
--- a/hyssopledge/coordination/evidence.cpp
+++ b/hyssopledge/coordination/evidence.cpp
@@ -40,10 +40,12 @@
 }
 
 control::evidence encodeEvidence(const std::string &Service,
+                                 std::uint64_t Directive,
                                  const stratum_key &Key,
                                  const evidence_cell &Cell) {
   control::evidence Entry;
   Entry.set_service(Service);
+  Entry.set_directive(Directive);
   Entry.set_version(Key.Version);
   Entry.set_route(Key.Route);
   Entry.set_data_centre(Key.DataCentre);
@@ -140,7 +142,8 @@
   return Fresh;
 }
 
-std::vector<control::evidence> evidence_recorder::drain() {
+std::vector<control::evidence> evidence_recorder::drain(
+    const std::map<std::string, std::uint64_t> &Revisions) {
   std::map<std::pair<std::string, stratum_key>, evidence_cell> Sums;
   constexpr auto Relaxed = std::memory_order_relaxed;
   for (const auto &[Key, Counters] : Table.read()->Counters) {
@@ -159,8 +162,12 @@
   }
   std::vector<control::evidence> Entries;
   Entries.reserve(Sums.size());
-  for (const auto &[Key, Cell] : Sums)
-    Entries.push_back(encodeEvidence(Key.first, Key.second, Cell));
+  for (const auto &[Key, Cell] : Sums) {
+    auto Revision = Revisions.find(Key.first);
+    Entries.push_back(encodeEvidence(
+        Key.first, Revision == Revisions.end() ? 0 : Revision->second,
+        Key.second, Cell));
+  }
   return Entries;
 }
 
@@ -190,7 +197,8 @@
   for (const control::reporter_evidence &From : Report.evidence())
     for (const control::evidence &Entry : From.entries()) {
       const auto [Key, Cell] = decodeEvidence(Entry);
-      Pending[From.reporter()][{Entry.service(), Key}].add(Cell);
+      Pending[From.reporter()][{Entry.service(), Entry.directive(), Key}].add(
+          Cell);
       Failures[From.reporter()] += Cell.Failures;
     }
   return true;
@@ -230,7 +238,8 @@
     control::reporter_evidence &From = *Report.add_evidence();
     From.set_reporter(Reporter);
     for (const auto &[Key, Cell] : Sums)
-      *From.add_entries() = encodeEvidence(Key.first, Key.second, Cell);
+      *From.add_entries() = encodeEvidence(std::get<0>(Key), std::get<1>(Key),
+                                           std::get<2>(Key), Cell);
   }
   return Report;
 }
--- a/hyssopledge/coordination/evidence.h
+++ b/hyssopledge/coordination/evidence.h
@@ -59,6 +59,7 @@
 };
 
 control::evidence encodeEvidence(const std::string &Service,
+                                 std::uint64_t Directive,
                                  const stratum_key &Key,
                                  const evidence_cell &Cell);
 /// Ignores buckets beyond LatencyBuckets.
@@ -84,7 +85,12 @@
   /// Counts since the last call. Unknown outcomes of one target within one
   /// interval count as one failure: a crash cuts many calls at once, and the
   /// statistics need independent events. Control thread.
-  std::vector<control::evidence> drain();
+  ///
+  /// Each entry names the directive that was in force (Revisions, by service).
+  /// Call it at each interval and right before a new directive is put in force:
+  /// calls made under different shares must not be compared with each other.
+  std::vector<control::evidence>
+  drain(const std::map<std::string, std::uint64_t> &Revisions);
 
 private:
   struct alignas(64) counters {
@@ -159,7 +165,8 @@
   static bool isSum(const std::string &Reporter);
 
 private:
-  using sums = std::map<std::pair<std::string, stratum_key>, evidence_cell>;
+  using sums = std::map<std::tuple<std::string, std::uint64_t, stratum_key>,
+                        evidence_cell>; // by service, directive, stratum
 
   std::string Relay;
   std::uint64_t Sequence;
--- a/tests/evidence_test.cpp
+++ b/tests/evidence_test.cpp
@@ -37,7 +37,7 @@
   Cell.Successes = Successes;
   Cell.Failures = Failures;
   *Evidence.add_entries() =
-      encodeEvidence("sizing", {"v2", "all", "dc1", "dc2"}, Cell);
+      encodeEvidence("sizing", 3, {"v2", "all", "dc1", "dc2"}, Cell);
   return Report;
 }
 
@@ -81,15 +81,16 @@
     for (int I = 0; I < 3; ++I)
       Recorder.record(Case.Report);
     evidence_cell Sum;
-    for (const control::evidence &Entry : Recorder.drain()) {
+    for (const control::evidence &Entry : Recorder.drain({{"sizing", 7}})) {
       CHECK(Entry.data_centre() == "dc1");
+      CHECK(Entry.directive() == 7);
       CHECK(Entry.target_data_centre() == "dc2");
       Sum.add(decodeEvidence(Entry).second);
     }
     CHECK(Sum.Successes == Case.Successes);
     CHECK(Sum.Failures == Case.Failures);
     CHECK(Sum.latencyCount() == Case.Latencies);
-    CHECK(Recorder.drain().empty());
+    CHECK(Recorder.drain({{"sizing", 7}}).empty());
   }
 }
 
@@ -110,7 +111,7 @@
     });
   std::uint64_t Sum = 0;
   const auto Drain = [&] {
-    for (const control::evidence &Entry : Recorder.drain())
+    for (const control::evidence &Entry : Recorder.drain({{"sizing", 7}}))
       Sum += Entry.successes();
   };
   for (int I = 0; I < 20; ++I)
--- a/tests/support/rollout_world.h
+++ b/tests/support/rollout_world.h
@@ -256,6 +256,8 @@
           if (Cell.calls() > 0)
             *Evidence.add_entries() = coordination::encodeEvidence(
                 Service,
+                coordination::directiveRevision(Directive.Generation,
+                                                Directive.Step),
                 {New ? Directive.ToVersion : Directive.FromVersion, "all",
                  "dc1", "dc" + std::to_string(I % 3)},
                 Cell);
