--- a/hyssopledge/transport/etcd_client.h
+++ b/hyssopledge/transport/etcd_client.h
@@ -15,7 +15,8 @@
 
 /// Handlers run on the io_context given; none runs after the client is
 /// destroyed. The answers come from another thread, so the context needs a work
-/// guard or other work to wait for them. Call the client, and destroy it, on the thread that runs the context.
+/// guard or other work to wait for them. Call the client, and destroy it, on
+/// the thread that runs the context.
 ///
 /// Outcomes of a failed write: Unavailable when no connection was there for the
 /// request or the platform refused it before acting, Timeout when it may have
--- a/scripts/install_dependencies.sh
+++ b/scripts/install_dependencies.sh
@@ -6,7 +6,7 @@
   clang-format clang-tidy
   libboost-dev libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc libssl-dev
   prometheus-cpp-dev libpopt-dev liblog4cxx-dev liburcu-dev libopentracing-dev
-  nlohmann-json3-dev libvalijson-dev doctest-dev librapidcheck-dev gnuplot-nox
+  zlib1g-dev nlohmann-json3-dev libvalijson-dev doctest-dev librapidcheck-dev gnuplot-nox
 )
 missing=()
 for package in "${PACKAGES[@]}"; do
