Report evidence with the directive it was made under

The evidence recorder asks for the revisions since; the daemon drains before it puts a new directive in force, and the voter drops evidence of other steps.

--- a/apps/hyssopd/rollout_runtime.cpp
+++ b/apps/hyssopd/rollout_runtime.cpp
@@ -72,6 +72,8 @@
 void rollout_runtime::onRecord(const control::gossip_record &Record) {
   Coordinator.onRecord(Record);
   if (Record.kind() == control::RECORD_DIRECTIVE) {
+    // Calls made until now belong to the directive before this one.
+    reportEvidence();
     const auto Accepted = Book.accept(Record);
     if (!Accepted || !Accepted.value())
       return;
@@ -112,16 +114,24 @@
   Hooks.Publish(coordination::encodeVote(Vote));
 }
 
+void rollout_runtime::reportEvidence() {
+  std::map<std::string, std::uint64_t> Revisions;
+  for (const auto &[Service, Directive] : Directives->ByService)
+    Revisions[Service] =
+        coordination::directiveRevision(Directive.Generation, Directive.Step);
+  const std::vector<control::evidence> Drained = Recorder.drain(Revisions);
+  if (Drained.empty())
+    return;
+  OwnVoter.addOwn(Drained);
+  control::reporter_evidence Report;
+  Report.set_reporter(Options.Instance);
+  for (const control::evidence &Entry : Drained)
+    *Report.add_entries() = Entry;
+  Hooks.SendEvidence(std::move(Report));
+}
+
 void rollout_runtime::closeSlice(bool PlatformDown) {
-  const std::vector<control::evidence> Drained = Recorder.drain();
-  if (!Drained.empty()) {
-    OwnVoter.addOwn(Drained);
-    control::reporter_evidence Report;
-    Report.set_reporter(Options.Instance);
-    for (const control::evidence &Entry : Drained)
-      *Report.add_entries() = Entry;
-    Hooks.SendEvidence(std::move(Report));
-  }
+  reportEvidence();
   bool Changed = false;
   for (const control::vote &Vote : OwnVoter.closeSlice(PlatformDown)) {
     // Whoever votes from its own calls stops using the version at once.
--- a/apps/hyssopd/rollout_runtime.h
+++ b/apps/hyssopd/rollout_runtime.h
@@ -59,6 +59,7 @@
 
 private:
   void refresh();
+  void reportEvidence();
   void closeSlice(bool PlatformDown);
   void vote(const control::vote &Vote);
 
--- a/hyssopledge/coordination/version_voter.cpp
+++ b/hyssopledge/coordination/version_voter.cpp
@@ -1,5 +1,7 @@
 #include "hyssopledge/coordination/version_voter.h"
 
+#include "hyssopledge/coordination/directive_book.h"
+
 #include <utility>
 
 namespace hyssopledge::coordination {
@@ -40,7 +42,10 @@
 void version_voter::add(const std::string &Reporter,
                         const control::evidence &Entry) {
   auto Found = Watched.find(Entry.service());
-  if (Found == Watched.end())
+  // Calls under another share must not be compared with those of this one.
+  if (Found == Watched.end() ||
+      Entry.directive() != directiveRevision(Found->second.Directive.Generation,
+                                             Found->second.Directive.Step))
     return;
   const auto [Key, Cell] = decodeEvidence(Entry);
   Found->second.Series->add(Reporter, Key, Cell);
