--- a/hyssopledge/coordination/control_agent.cpp
+++ b/hyssopledge/coordination/control_agent.cpp
@@ -179,6 +179,7 @@
   perform(Documents.onTick(Now));
   tickRenewal(Now);
   tickReports(Now);
+  tickJoin(Now);
   Tracker.onTick(Now);
 }
 
@@ -399,6 +400,7 @@
   Response.set_callers_applied_version(Memory.AppliedVersion);
   Response.set_callers_incarnation(Memory.Incarnation);
   Response.set_known_version(Documents.knownVersion());
+  Response.set_callee_joined(Tracker.joined());
   Response.set_callee_ready(Gate.floor().has_value() &&
                             Documents.knownVersion() > 0);
   return Response;
--- a/hyssopledge/coordination/control_agent.h
+++ b/hyssopledge/coordination/control_agent.h
@@ -60,7 +60,7 @@
   std::uint64_t Seed = 1;                  // of the random numbers
   std::uint64_t IncarnationHint = 1;       // grows between restarts
   state::milliseconds ProbeInterval{1000};
-  state::milliseconds StartSpread{1000}; // first platform read waits up to this
+  state::milliseconds StartSpread{4000}; // first platform read waits up to this
   state::milliseconds ConfirmInterval{
       5000}; // a relay reads the head this often
   state::milliseconds LevelWriteInterval{60000};
@@ -163,6 +163,8 @@
 
   // control_agent_calls.cpp
   void tickStart(state::time_point Now);
+  std::vector<std::string> unmetContacts() const;
+  void tickJoin(state::time_point Now);
   void syncWith(const std::string &Address);
   void onSynced(const std::string &Address,
                 const state::result<control::sync_response> &Response);
@@ -215,6 +217,8 @@
   state::time_point StartedAt{};
   state::time_point NextSync{};
   bool SeatsRead = false;
+  bool ReadingLevels = false;
+  state::time_point NextJoinRead{};
 
   // Platform
   bool ReadingHead = false;
--- a/hyssopledge/coordination/control_agent_calls.cpp
+++ b/hyssopledge/coordination/control_agent_calls.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t MaxOutboxEvidence = 2048;
 constexpr std::size_t MaxOutboxAcknowledgements = 2048;
 constexpr unsigned StartSyncs = 3;
+constexpr unsigned JoinPeriods = 30;
 
 } // namespace
 
@@ -38,14 +39,13 @@
     refreshVersions();
     afterMerge("");
   }
-  const bool Joined = SyncsAnswered > 0 && Store.liveCount() > 1;
-  if (Now >= NextSync && !(Joined && Gate.floor())) {
-    std::vector<std::string> Addresses = Contacts;
-    if (Joined) {
-      Addresses.clear();
+  // Daemons that start together may form islands that know nothing of each
+  // other, so each contact must be met and not just any.
+  if (Now >= NextSync) {
+    std::vector<std::string> Addresses = unmetContacts();
+    if (SyncsAnswered == 0 || !Gate.floor())
       for (const control::member &Member : Members.randomMembers(4))
         Addresses.push_back(Member.control_address());
-    }
     if (!Addresses.empty())
       syncWith(Addresses[NextContact++ % Addresses.size()]);
     // Syncs are large; a daemon that finds nobody asks more and more rarely.
@@ -57,6 +57,18 @@
     syncWith(Peer->control_address());
 }
 
+std::vector<std::string> control_agent::unmetContacts() const {
+  std::set<std::string> Met;
+  for (const auto &[Instance, Entry] : Store.members())
+    if (Entry.Member.status() == control::MEMBER_ALIVE)
+      Met.insert(Entry.Member.control_address());
+  std::vector<std::string> Unmet;
+  for (const std::string &Contact : Contacts)
+    if (!Met.contains(Contact))
+      Unmet.push_back(Contact);
+  return Unmet;
+}
+
 void control_agent::syncWith(const std::string &Address) {
   control::sync_request Request;
   Request.set_environment(Options.Environment);
@@ -97,6 +109,8 @@
         std::max(Options.IncarnationHint, Answer.callers_incarnation() + 1);
   Members.onMerged(Now);
   afterMerge(Teller);
+  if (Answer.callee_joined())
+    Tracker.onJoined();
   if (Answer.callee_ready()) {
     Gate.onPeerAnswer(Address, Answer.known_version(),
                       Answer.callers_applied_version());
@@ -104,6 +118,36 @@
   }
 }
 
+// A daemon that was told the members by one that knew them knows them. After a
+// restart of the whole fleet nobody does; then the platform's lease levels name
+// the instances that may hold a lease.
+void control_agent::tickJoin(time_point Now) {
+  if (Tracker.joined() || collector() != Options.Instance ||
+      Now < StartedAt + JoinPeriods * Options.ProbeInterval)
+    return;
+  if (Now >= StartedAt + Tracker.leaseBound())
+    return Tracker.onJoined();
+  if (ReadingLevels || Now < NextJoinRead || !Budget.take(Now, 1))
+    return;
+  ReadingLevels = true;
+  NextJoinRead = Now + JoinPeriods * Options.ProbeInterval / 3;
+  Platform.get(keys::leaseLevels(Options.Environment, ""), true,
+               guarded([this](const state::result<platform_read> &Read) {
+                 ReadingLevels = false;
+                 if (!Read)
+                   return;
+                 for (const platform_entry &Entry : Read.value().Entries) {
+                   control::lease_levels Levels;
+                   if (!Levels.ParseFromString(Entry.Value))
+                     return;
+                   for (const auto &Item : Levels.entries())
+                     if (Store.findMember(Item.instance()) == nullptr)
+                       return;
+                 }
+                 Tracker.onJoined();
+               }));
+}
+
 //-----------------------------------------------------------------------------
 // Platform
 //-----------------------------------------------------------------------------
@@ -111,7 +155,8 @@
 void control_agent::tickPlatform(time_point Now) {
   const bool Relay = holdsRelaySeat();
   Documents.setRelay(Relay);
-  if (!SeatsRead && Now >= NextSeatsRead)
+  // Relays look for relays of other islands.
+  if ((!SeatsRead || Relay) && Now >= NextSeatsRead)
     readSeats();
   if (Relay != WatchWanted) {
     WatchWanted = Relay;
@@ -226,6 +271,9 @@
                  }
                  Budget.onSuccess();
                  SeatsRead = true;
+                 NextSeatsRead = At + between(Random, 30s, 60s);
+                 Contacts = Options.BootstrapPeers;
+                 std::erase(Contacts, Options.ControlAddress);
                  for (const platform_entry &Entry : Read.value().Entries) {
                    control::seat Value;
                    if (Value.ParseFromString(Entry.Value) &&
@@ -410,10 +458,7 @@
     else if (Response && !Response.value().reason().empty())
       log("event=renewal_refused reason=\"" + Response.value().reason() + "\"");
   });
-  if (*Address == Options.ControlAddress)
-    Answer(state::result<control::renew_response>(onRenew(Request)));
-  else
-    Io.renew(*Address, Request, Answer);
+  Io.renew(*Address, Request, Answer);
 }
 
 std::string control_agent::collector() const {
--- a/hyssopledge/coordination/gossip_store.cpp
+++ b/hyssopledge/coordination/gossip_store.cpp
@@ -19,6 +19,7 @@
 constexpr std::uint64_t MaxCounter = std::uint64_t{1} << 62;
 constexpr std::size_t MaxKeyBytes = 512;
 constexpr unsigned SyncedRetransmits = 3;
+constexpr unsigned MaxMisfits = 8; // searched past, in one packet
 
 bool isLive(const control::member &Member) {
   return Member.status() == control::MEMBER_ALIVE ||
@@ -379,11 +380,12 @@
 void gossip_store::fillPacket(time_point Now, control::gossip_packet &Packet) {
   const unsigned Limit = retransmitLimit();
   std::size_t Bytes = Packet.ByteSizeLong();
+  unsigned Misfits = 0;
   std::vector<news_key> Sent;
   std::vector<news_key> Gone;
   for (const auto &[Count, Age, Key] : Queue) {
-    // Smaller news may still fit; stop when hardly any would.
-    if (Bytes + 64 > MaxPacketBytes)
+    // Smaller news may still fit; a long queue must not be searched for it.
+    if (Bytes + 64 > MaxPacketBytes || Misfits >= MaxMisfits)
       break;
     if (Key.first == 0) {
       auto Found = Members.find(Key.second);
@@ -392,8 +394,10 @@
         continue;
       }
       const std::size_t Size = Found->second.Member.ByteSizeLong() + 6;
-      if (Bytes + Size > MaxPacketBytes)
+      if (Bytes + Size > MaxPacketBytes) {
+        ++Misfits;
         continue;
+      }
       *Packet.add_members() = Found->second.Member;
       Bytes += Size;
     } else {
@@ -407,8 +411,10 @@
       // A record that fits into no packet spreads by full sync only.
       if (Size + 300 > MaxPacketBytes)
         Gone.push_back(Key);
-      if (Bytes + Size > MaxPacketBytes)
+      if (Bytes + Size > MaxPacketBytes) {
+        ++Misfits;
         continue;
+      }
       *Packet.add_records() = std::move(Record);
       Bytes += Size;
     }
--- a/hyssopledge/coordination/lease_policy.cpp
+++ b/hyssopledge/coordination/lease_policy.cpp
@@ -234,12 +234,17 @@
 
 void convergence_tracker::onMember(time_point Now,
                                    const control::member &Member) {
+  auto Found = Members.find(Member.instance());
+  if (Found != Members.end())
+    CutOff -= Found->second.Status != control::MEMBER_ALIVE ? 1 : 0;
   if (Member.status() == control::MEMBER_LEFT) {
-    Members.erase(Member.instance());
+    if (Found != Members.end())
+      Members.erase(Found);
     return;
   }
   member_state &Entry = Members[Member.instance()];
   Entry.Status = Member.status();
+  CutOff += Entry.Status != control::MEMBER_ALIVE ? 1 : 0;
   Entry.Incarnation = std::max(Entry.Incarnation, Member.incarnation());
   if (halfCutOff())
     CountedFrom = Now;
@@ -267,11 +272,7 @@
 }
 
 bool convergence_tracker::halfCutOff() const {
-  const auto CutOff =
-      std::count_if(Members.begin(), Members.end(), [](const auto &Item) {
-        return Item.second.Status != control::MEMBER_ALIVE;
-      });
-  return 2 * static_cast<std::size_t>(CutOff) >= Members.size();
+  return 2 * CutOff >= Members.size();
 }
 
 void convergence_tracker::onTick(time_point Now) {
@@ -281,6 +282,10 @@
   LastTick = Now;
 }
 
+boot_clock::duration convergence_tracker::leaseBound() const {
+  return Options.DetectionLag + scaled(LongestLease, 1 + Options.ClockDrift);
+}
+
 control::convergence convergence_tracker::statement(time_point Now,
                                                     std::int64_t UnixMs) const {
   control::convergence Statement;
@@ -289,9 +294,7 @@
   Statement.set_accepted_unix_ms(Head.accepted_unix_ms());
   Statement.set_stated_unix_ms(UnixMs);
   const bool LeasesOver =
-      LongestLease.count() > 0 &&
-      Now >= CountedFrom + Options.DetectionLag +
-                 scaled(LongestLease, 1 + Options.ClockDrift);
+      LongestLease.count() > 0 && Now >= CountedFrom + leaseBound();
   std::uint32_t Acknowledged = 0;
   std::uint32_t Ended = 0;
   for (const auto &[Instance, Member] : Members) {
@@ -305,8 +308,8 @@
   }
   Statement.set_acknowledged(Acknowledged);
   Statement.set_lease_ended(Ended);
-  Statement.set_in_force_everywhere(Head.version() > 0 && !Members.empty() &&
-                                    !halfCutOff() &&
+  Statement.set_in_force_everywhere(Joined && Head.version() > 0 &&
+                                    !Members.empty() && !halfCutOff() &&
                                     Now - LastTick <= Options.DetectionLag &&
                                     Acknowledged + Ended == Members.size());
   return Statement;
--- a/hyssopledge/coordination/lease_policy.h
+++ b/hyssopledge/coordination/lease_policy.h
@@ -146,6 +146,13 @@
   explicit convergence_tracker(options Options) : Options(Options) {}
   convergence_tracker() : convergence_tracker(options()) {}
 
+  /// The members are known, from a peer or because there is none. A daemon that
+  /// has just started knows only itself and must not speak for the others.
+  void onJoined() { Joined = true; }
+  bool joined() const { return Joined; }
+  /// A lease of a member that is unknown here ends within this time, unless a
+  /// majority that is unknown here renews it.
+  state::boot_clock::duration leaseBound() const;
   void onSpec(const state::lease_spec &Spec);
   void onHead(state::time_point Now, const control::head &Head);
   void onMember(state::time_point Now, const control::member &Member);
@@ -169,9 +176,11 @@
   bool halfCutOff() const;
 
   options Options;
+  bool Joined = false;
   control::head Head;
   state::milliseconds LongestLease{0}; // of all documents seen
   std::map<std::string, member_state> Members;
+  std::size_t CutOff = 0;          // members that are not alive
   state::time_point CountedFrom{}; // no stale lease is granted after this plus
                                    // the detection lag
   state::time_point LastTick{};
--- a/hyssopledge/coordination/membership.cpp
+++ b/hyssopledge/coordination/membership.cpp
@@ -209,7 +209,10 @@
     NextProbe = Now + Options.Period;
   }
   LastTick = Now;
-  Store.expire(Now);
+  if (Now >= NextExpire) {
+    NextExpire = Now + Options.Period;
+    Store.expire(Now);
+  }
   std::erase_if(Relayed,
                 [Now](const auto &Item) { return Item.second.Expires <= Now; });
   if (Probe && !Probe->Indirect &&
--- a/hyssopledge/coordination/membership.h
+++ b/hyssopledge/coordination/membership.h
@@ -128,6 +128,7 @@
   unsigned SilentFailures = 0; // failed probes since the last packet
   state::time_point NextProbe{};
   state::time_point NextDeadRetry{};
+  state::time_point NextExpire{};
   state::time_point LastTick{};
   state::time_point LastHeard{};
   unsigned Mismatches = 0;
--- a/tests/lease_policy_test.cpp
+++ b/tests/lease_policy_test.cpp
@@ -204,6 +204,17 @@
   auto Stated = [&] { return Tracker.statement(Now, 0).in_force_everywhere(); };
   for (const char *Instance : {"a", "b", "c"})
     Member(Instance, control::MEMBER_ALIVE);
+  SUBCASE("not before the members are known") {
+    control::head Early;
+    Early.set_version(2);
+    Tracker.onHead(Now, Early);
+    Wait(1s);
+    for (const char *Instance : {"a", "b", "c"})
+      Acknowledge(Instance, 2);
+    CHECK_FALSE(Stated());
+    return;
+  }
+  Tracker.onJoined();
   control::head Head;
   Head.set_version(2);
   Tracker.onHead(Now, Head);
--- a/tests/support/gossip_network.h
+++ b/tests/support/gossip_network.h
@@ -84,6 +84,8 @@
         auto Answers = To.Members.onPacket(Now, Due.mapped().second);
         if (Answers)
           send(To, std::move(Answers.value()));
+        if (OnHandled)
+          OnHandled(To);
       }
       Now = Step;
       for (auto &Node : Nodes) {
@@ -127,6 +129,7 @@
   state::time_point Now{std::chrono::hours(1)};
   state::random_engine Random;
   double Loss = 0;
+  std::function<void(node &)> OnHandled;              // after each packet
   std::set<std::pair<std::size_t, std::size_t>> Cuts; // from, to
   std::vector<std::unique_ptr<node>> Nodes;
 
