--- a/hyssopledge/coordination/control_agent.h
+++ b/hyssopledge/coordination/control_agent.h
@@ -61,7 +61,7 @@
   std::uint64_t Seed = 1;                  // of the random numbers
   std::uint64_t IncarnationHint = 1;       // grows between restarts
   state::milliseconds ProbeInterval{1000};
-  state::milliseconds StartSpread{1000}; // first platform read waits up to this
+  state::milliseconds StartSpread{4000}; // first platform read waits up to this
   state::milliseconds ConfirmInterval{
       5000}; // a relay reads the head this often
   state::milliseconds LevelWriteInterval{60000};
@@ -179,6 +179,8 @@
 
   // control_agent_calls.cpp
   void tickStart(state::time_point Now);
+  std::vector<std::string> unmetContacts() const;
+  void tickJoin(state::time_point Now);
   void syncWith(const std::string &Address);
   void onSynced(const std::string &Address,
                 const state::result<control::sync_response> &Response);
@@ -201,7 +203,6 @@
   std::optional<std::string> relayAddress();
   std::string collector() const;
   std::size_t dataCentreMembers() const;
-  bool isAlive(const std::string &Instance) const;
   void fetchFromPlatform(std::uint64_t Fetch,
                          const std::vector<std::string> &Hashes);
 
@@ -235,6 +236,8 @@
   state::time_point StartedAt{};
   state::time_point NextSync{};
   bool SeatsRead = false;
+  bool ReadingLevels = false;
+  state::time_point NextJoinRead{};
 
   // Platform
   bool ReadingHead = false;
--- a/hyssopledge/coordination/control_agent_calls.cpp
+++ b/hyssopledge/coordination/control_agent_calls.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds ReportInterval{1000};
 constexpr std::size_t MaxOutboxEvidence = 2048;
 constexpr unsigned StartSyncs = 3;
+constexpr unsigned JoinPeriods = 30;
 
 } // namespace
 
@@ -37,14 +38,13 @@
     refreshVersions();
     afterMerge("");
   }
-  const bool Joined = SyncsAnswered > 0 && Store.liveCount() > 1;
-  if (Now >= NextSync && !(Joined && Gate.floor())) {
-    std::vector<std::string> Addresses = Contacts;
-    if (Joined) {
-      Addresses.clear();
+  // Daemons that start together may form islands that know nothing of each
+  // other, so each contact must be met and not just any.
+  if (Now >= NextSync) {
+    std::vector<std::string> Addresses = unmetContacts();
+    if (SyncsAnswered == 0 || !Gate.floor())
       for (const control::member &Member : Members.randomMembers(4))
         Addresses.push_back(Member.control_address());
-    }
     if (!Addresses.empty())
       syncWith(Addresses[NextContact++ % Addresses.size()]);
     // Syncs are large; a daemon that finds nobody asks more and more rarely.
@@ -56,6 +56,18 @@
     syncWith(Peer->control_address());
 }
 
+std::vector<std::string> control_agent::unmetContacts() const {
+  std::set<std::string> Met;
+  for (const auto &[Instance, Entry] : Store.members())
+    if (Entry.Member.status() == control::MEMBER_ALIVE)
+      Met.insert(Entry.Member.control_address());
+  std::vector<std::string> Unmet;
+  for (const std::string &Contact : Contacts)
+    if (!Met.contains(Contact))
+      Unmet.push_back(Contact);
+  return Unmet;
+}
+
 void control_agent::syncWith(const std::string &Address) {
   control::sync_request Request;
   Request.set_environment(Options.Environment);
@@ -96,6 +108,8 @@
         std::max(Options.IncarnationHint, Answer.callers_incarnation() + 1);
   Members.onMerged(Now);
   afterMerge(Teller);
+  if (Answer.callee_joined())
+    Tracker.onJoined();
   if (Answer.callee_ready()) {
     Gate.onPeerAnswer(Address, Answer.known_version(),
                       Answer.callers_applied_version());
@@ -103,6 +117,36 @@
   }
 }
 
+// A daemon that was told the members by one that knew them knows them. After a
+// restart of the whole fleet nobody does; then the platform's lease levels name
+// the instances that may hold a lease.
+void control_agent::tickJoin(time_point Now) {
+  if (Tracker.joined() || collector() != Options.Instance ||
+      Now < StartedAt + JoinPeriods * Options.ProbeInterval)
+    return;
+  if (Now >= StartedAt + Tracker.leaseBound())
+    return Tracker.onJoined();
+  if (ReadingLevels || Now < NextJoinRead || !Budget.take(Now, 1))
+    return;
+  ReadingLevels = true;
+  NextJoinRead = Now + JoinPeriods * Options.ProbeInterval / 3;
+  Platform.get(keys::leaseLevels(Options.Environment, ""), true,
+               guarded([this](const state::result<platform_read> &Read) {
+                 ReadingLevels = false;
+                 if (!Read)
+                   return;
+                 for (const platform_entry &Entry : Read.value().Entries) {
+                   control::lease_levels Levels;
+                   if (!Levels.ParseFromString(Entry.Value))
+                     return;
+                   for (const auto &Item : Levels.entries())
+                     if (Store.findMember(Item.instance()) == nullptr)
+                       return;
+                 }
+                 Tracker.onJoined();
+               }));
+}
+
 //-----------------------------------------------------------------------------
 // Platform
 //-----------------------------------------------------------------------------
@@ -110,8 +154,7 @@
 void control_agent::tickPlatform(time_point Now) {
   const bool Relay = holdsRelaySeat();
   Documents.setRelay(Relay);
-  // Daemons that started at one time may have read the seats before any was
-  // taken, and formed groups that don't know each other; relays find them.
+  // Relays look for relays of other islands.
   if ((!SeatsRead || Relay) && Now >= NextSeatsRead)
     readSeats();
   if (Relay != WatchWanted) {
@@ -226,21 +269,19 @@
                    return;
                  }
                  Budget.onSuccess();
-                 const bool First = !SeatsRead;
                  SeatsRead = true;
-                 // Soon after the start groups are likely, later they are rare.
+                 // Islands are likely right after the start, later they are
+                 // rare.
                  NextSeatsRead =
                      At + (At < StartedAt + 30s ? between(Random, 2s, 4s)
-                                                : between(Random, 15s, 30s));
+                                                : between(Random, 30s, 60s));
+                 Contacts = Options.BootstrapPeers;
+                 std::erase(Contacts, Options.ControlAddress);
                  for (const platform_entry &Entry : Read.value().Entries) {
                    control::seat Value;
-                   if (!Value.ParseFromString(Entry.Value) ||
-                       Value.instance() == Options.Instance)
-                     continue;
-                   if (First)
+                   if (Value.ParseFromString(Entry.Value) &&
+                       Value.instance() != Options.Instance)
                      Contacts.push_back(Value.control_address());
-                   else if (!isAlive(Value.instance()))
-                     syncWith(Value.control_address());
                  }
                  std::shuffle(Contacts.begin(), Contacts.end(), Random);
                }));
@@ -278,11 +319,6 @@
 // Seats and lease levels
 //-----------------------------------------------------------------------------
 
-bool control_agent::isAlive(const std::string &Instance) const {
-  const control::member *Member = Store.findMember(Instance);
-  return Member != nullptr && Member->status() == control::MEMBER_ALIVE;
-}
-
 std::size_t control_agent::dataCentreMembers() const {
   return static_cast<std::size_t>(std::count_if(
       Store.members().begin(), Store.members().end(), [this](const auto &Item) {
@@ -438,10 +474,7 @@
     else if (Response && !Response.value().reason().empty())
       log("event=renewal_refused reason=\"" + Response.value().reason() + "\"");
   });
-  if (*Address == Options.ControlAddress)
-    Answer(state::result<control::renew_response>(onRenew(Request)));
-  else
-    Io.renew(*Address, Request, Answer);
+  Io.renew(*Address, Request, Answer);
 }
 
 std::string control_agent::collector() const {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -59,9 +59,9 @@
 }
 upstream() { # upstream NAME SERVICE VERSION PORT DAEMON_PORT EXTRA...
   local name=$1 service=$2 version=$3 port=$4 daemon_port=$5; shift 5
-  start "$name" "$build/tools/upstream_standin" --service "$service" --version-name "$version" \
-    --listen "127.0.0.1:$port" --daemon-admin "127.0.0.1:$((daemon_port + 2))" \
-    --daemon-data "127.0.0.1:$daemon_port" "$@"
+  start "$name" "$build/tools/upstream_standin" --service "$service" --version "$version" \
+    --listen "127.0.0.1:$port" --admin "127.0.0.1:$((daemon_port + 2))" \
+    --daemon "127.0.0.1:$daemon_port" --latency-ms 2 "$@"
 }
 
 document() { # document ENVIRONMENT ROLLOUT_JSON
@@ -76,3 +76,68 @@
   {"name": "look", "path_prefix": "/reservations", "methods": ["GET"], "service": "reservations", "idempotent": true}]}
 JSON
 }
+
+calls() { # calls NAME ADDRESSES METHOD PATH RATE SECONDS EXTRA...
+  local name=$1 addresses=$2 method=$3 path=$4 rate=$5 seconds=$6; shift 6
+  "$build/tools/load_generator" --address "$addresses" --method "$method" --path "$path" \
+    --rate "$rate" --duration "$seconds" "$@" >"$work/$name.json" 2>"$work/$name.err" ||
+    fail "calls $name: $(cat "$work/$name.json" "$work/$name.err")"
+  printf '%-34s %s\n' "$name" "$(cat "$work/$name.json")"
+}
+
+step() { printf '\n== %s\n' "$1"; }
+
+step "Start the platform stand-in, three daemons in two data centres, and their upstreams"
+start platform "$build/tools/platform_standin" --listen 127.0.0.1:18000 --admin 127.0.0.1:18001
+daemon catalogue-0 dc1 18100
+daemon reservations-0 dc1 18110
+daemon reservations-1 dc2 18120
+last_daemon_v1=$(printf '%s\n' "${pids[@]}" | sed -n 3p)
+upstream catalogue catalogue v1 18200 18100
+upstream reservations-v1 reservations v1 18210 18110 --nested /catalogue/size-charts
+upstream reservations-v2 reservations v2 18220 18120 --nested /catalogue/size-charts
+
+step "Validate, try and promote a document"
+document trial "" >"$work/document.json"
+"${ctl[@]}" validate "$work/document.json"
+await 15 "trial document accepted" "${ctl[@]}" trial "$work/document.json"
+"${ctl[@]}" promote
+for port in 18102 18112 18122; do await 20 "daemon $port ready" ready $port; done
+"${ctl[@]}" status --wait --timeout 30
+
+step "A bad document is refused and changes nothing"
+sed 's/"service": "catalogue", "idempotent"/"service": "catalog", "idempotent"/' "$work/document.json" >"$work/bad.json"
+if "${ctl[@]}" validate "$work/bad.json"; then fail "a route to a missing service was accepted"; fi
+
+all=127.0.0.1:18100,127.0.0.1:18110,127.0.0.1:18120
+await 10 "calls to reservations" bash -c "$(declare -f http_get); http_get 18100 /reservations/1 | head -n 1 | grep -q ' 200 '"
+step "Calls through all daemons (reservations call the catalogue in turn)"
+calls "browse the catalogue" $all GET /catalogue/kilts 100 3
+calls "hold, each key sent twice" $all POST /reservations/hold 50 3 --keys demo --repeat 2
+
+step "Move reservations from v1 to v2 within 90 s"
+document trial ', "rollout": {"to": "v2", "complete_within_s": 90, "initial_share": 0.02}' >"$work/rollout.json"
+"${ctl[@]}" trial "$work/rollout.json"
+"${ctl[@]}" diff
+"${ctl[@]}" promote
+calls "during the rollout" $all GET /reservations/7 200 80
+"${ctl[@]}" status
+"${ctl[@]}" explain reservations
+calls "after the rollout" $all GET /reservations/7 100 2
+grep -q '"v2"' "$work/after the rollout.json" || fail "no traffic at v2"
+
+step "Kill the daemon beside the v1 upstream"
+kill -9 "$last_daemon_v1"
+calls "with a killed daemon" 127.0.0.1:18100,127.0.0.1:18120 GET /reservations/7 100 5
+if grep -q '"502"\|"503"\|"504"' "$work/with a killed daemon.json"; then fail "calls failed after a daemon was killed"; fi
+
+step "Spans of one call, a span for each hop"
+cat "$work"/*.spans | tail -n 4 | cut -c 1-200
+
+step "What happened"
+printf '| %-28s | %s |\n' step result
+printf '| %-28s | %s |\n' "document promoted" "in force everywhere" \
+  "calls" "$(grep -c . "$work/browse the catalogue.json") runs, see above" \
+  "rollout" "reservations v1 -> v2 complete" \
+  "killed daemon" "no call failed"
+echo "demo: done"
