--- a/hyssopledge/state/target_stats.h
+++ b/hyssopledge/state/target_stats.h
@@ -36,7 +36,7 @@
   std::atomic<std::uint32_t> HintUsed{
       0}; // slots used and queued, from the last response
   std::atomic<std::uint32_t> HintSlots{0};
-  std::atomic<std::int64_t> HintAtNs{0};    // when the hint came
+  std::atomic<std::int64_t> HintAtNs{0};   // when the hint came
   std::atomic<std::int64_t> SampleAtNs{0}; // when an attempt last ended
 };
 
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -111,6 +111,21 @@
   CHECK(Released[0].Refusal->is(errc::NoTarget));
 }
 
+TEST_CASE("a waiting request that can't end in time gives its slot away") {
+  admission Admission = serving({2, 5});
+  admit(Admission, 1, Start).value();
+  Admission.finish(1, milliseconds(100), Start); // mean run time
+  admit(Admission, 2, Start).value();
+  admit(Admission, 3, Start).value();
+  admit(Admission, 4, Start, seconds(1)).value();
+  admit(Admission, 5, Start).value();
+  const auto Released = Admission.finish(2, milliseconds(100),
+                                         Start + seconds(1) - milliseconds(60));
+  REQUIRE(Released.size() == 2);
+  CHECK(Released[0].Refusal.has_value());
+  CHECK(!Released[1].Refusal.has_value());
+}
+
 TEST_CASE("a drain finishes what was admitted or waits") {
   admission Admission = serving({1, 5});
   admit(Admission, 1, Start).value();
