--- a/apps/hyssopctl/views.cpp
+++ b/apps/hyssopctl/views.cpp
@@ -218,7 +218,8 @@
   for (const auto &Item : New.items())
     Keys[Item.key()].second = Item.value();
   for (const auto &[Key, Values] : Keys)
-    compare(Place + "/" + Key, Values.first, Values.second, Changes);
+    compare(std::string(Place).append("/").append(Key), Values.first,
+            Values.second, Changes);
 }
 
 } // namespace
