--- a/hyssopledge/coordination/coordinator.cpp
+++ b/hyssopledge/coordination/coordinator.cpp
@@ -322,6 +322,19 @@
     decide(Service, Rollout, Now, UnixNow);
 }
 
+namespace {
+
+unsigned overloads(const control::rollout_record &Record) {
+  return static_cast<unsigned>(
+      std::count_if(Record.decisions().begin(), Record.decisions().end(),
+                    [&](const control::decision &Decision) {
+                      return Decision.rule() == "overloaded" &&
+                             Decision.unix_ms() >= Record.started_unix_ms();
+                    }));
+}
+
+} // namespace
+
 coordinator::target_counts
 coordinator::targets(const std::string &Service,
                      const control::rollout_record &Record) const {
@@ -363,6 +376,7 @@
                                  Now - Rollout.EvidenceSince)),
        .SinceFull = Record.full_unix_ms() == 0 ? std::optional<milliseconds>()
                                                : Since(Record.full_unix_ms()),
+       .Overloads = overloads(Record),
        .CondemnedByVotes = Votes.condemned(
            {Service, Record.to_version(), Record.generation()}, Electorate),
        .MayRaise = MayRaise,
--- a/hyssopledge/coordination/evidence.cpp
+++ b/hyssopledge/coordination/evidence.cpp
@@ -27,6 +27,7 @@
   Successes += Other.Successes;
   Failures += Other.Failures;
   WarmupCalls += Other.WarmupCalls;
+  Refused += Other.Refused;
   for (std::size_t I = 0; I < LatencyBuckets; ++I)
     Latency[I] += Other.Latency[I];
 }
@@ -35,6 +36,7 @@
   Successes -= Other.Successes;
   Failures -= Other.Failures;
   WarmupCalls -= Other.WarmupCalls;
+  Refused -= Other.Refused;
   for (std::size_t I = 0; I < LatencyBuckets; ++I)
     Latency[I] -= Other.Latency[I];
 }
@@ -53,6 +55,7 @@
   Entry.set_successes(Cell.Successes);
   Entry.set_failures(Cell.Failures);
   Entry.set_warmup_calls(Cell.WarmupCalls);
+  Entry.set_refused(Cell.Refused);
   std::size_t Used = LatencyBuckets;
   while (Used > 0 && Cell.Latency[Used - 1] == 0)
     --Used;
@@ -67,6 +70,7 @@
   Cell.Successes = Entry.successes();
   Cell.Failures = Entry.failures();
   Cell.WarmupCalls = Entry.warmup_calls();
+  Cell.Refused = Entry.refused();
   const std::size_t Used = std::min<std::size_t>(
       LatencyBuckets, static_cast<std::size_t>(Entry.latency_buckets_size()));
   for (std::size_t I = 0; I < Used; ++I)
@@ -95,8 +99,7 @@
 
 void evidence_recorder::record(const state::attempt_report &Report) {
   using state::attempt_outcome;
-  if (Report.Poison || Report.Outcome == attempt_outcome::NotRun ||
-      Report.Outcome == attempt_outcome::Cancelled)
+  if (Report.Poison || Report.Outcome == attempt_outcome::Cancelled)
     return;
   const std::shared_ptr<const table> Current = Table.read();
   if (!Current->Active.contains(Report.Service))
@@ -109,6 +112,10 @@
   if (Counters == nullptr)
     return;
   constexpr auto Relaxed = std::memory_order_relaxed;
+  if (Report.Outcome == attempt_outcome::NotRun) {
+    Counters->Refused.fetch_add(1, Relaxed);
+    return;
+  }
   if (Report.TargetWarmingUp)
     Counters->Warmup.fetch_add(1, Relaxed);
   if (Report.Outcome == attempt_outcome::Failed) {
@@ -153,9 +160,10 @@
         Counters->Failures.exchange(0, Relaxed) +
         std::min<std::uint64_t>(1, Counters->Unknown.exchange(0, Relaxed));
     Cell.WarmupCalls = Counters->Warmup.exchange(0, Relaxed);
+    Cell.Refused = Counters->Refused.exchange(0, Relaxed);
     for (std::size_t I = 0; I < LatencyBuckets; ++I)
       Cell.Latency[I] = Counters->Latency[I].exchange(0, Relaxed);
-    if (Cell.calls() > 0)
+    if (!Cell.empty())
       Sums[{Key.Service,
             {Key.Version, Key.Route, DataCentre, Key.TargetDataCentre}}]
           .add(Cell);
@@ -299,7 +307,7 @@
   evidence_sums Sums;
   Sums.reserve(Keys.size());
   for (std::size_t K = 0; K < Keys.size(); ++K)
-    if (ByKey[K].calls() > 0)
+    if (!ByKey[K].empty())
       Sums.push_back({Keys[K].get(), ByKey[K]});
   return Sums;
 }
@@ -322,6 +330,10 @@
   std::erase_if(Sums, [&](const stratum_sum &Sum) {
     return Sum.Key->Version != Version;
   });
+  // Overload excuses slowness only while the old version is there to compare
+  // with; against the baseline it is a reason to look closer.
+  for (stratum_sum &Sum : Sums)
+    Sum.Cell.Refused = 0;
   for (const auto &[Key, Cell] : Baseline)
     Sums.push_back({Keys[Key].get(), Cell});
   return Sums;
--- a/hyssopledge/coordination/evidence.h
+++ b/hyssopledge/coordination/evidence.h
@@ -37,10 +37,12 @@
 struct evidence_cell {
   std::uint64_t Successes = 0;
   std::uint64_t Failures = 0;
-  std::uint64_t WarmupCalls = 0;                       // not in Latency
+  std::uint64_t WarmupCalls = 0; // not in Latency
+  std::uint64_t Refused = 0;     // "not run"; no calls, a sign of overload
   std::array<std::uint64_t, LatencyBuckets> Latency{}; // of successes
 
   std::uint64_t calls() const { return Successes + Failures; }
+  bool empty() const { return calls() == 0 && Refused == 0; }
   std::uint64_t latencyCount() const;
   void add(const evidence_cell &Other);
   void subtract(const evidence_cell &Other);
@@ -79,8 +81,9 @@
 
   /// Services whose attempts count; the others are ignored. Control thread.
   void setActive(std::set<std::string> Services);
-  /// Attempts that were not run, were cancelled, or carried a poison request do
-  /// not count. A shed call is a "not run" and does not count either.
+  /// Attempts that were cancelled or carried a poison request do not count.
+  /// Those that were not run, as shed calls, are no outcomes; their number
+  /// shows overload.
   void record(const state::attempt_report &Report);
   /// Counts since the last call. Unknown outcomes of one target within one
   /// interval count as one failure: a crash cuts many calls at once, and the
@@ -98,6 +101,7 @@
     std::atomic<std::uint64_t> Failures{0};
     std::atomic<std::uint64_t> Unknown{0};
     std::atomic<std::uint64_t> Warmup{0};
+    std::atomic<std::uint64_t> Refused{0};
     std::array<std::atomic<std::uint64_t>, LatencyBuckets> Latency{};
   };
   struct key_view {
--- a/hyssopledge/coordination/rollout_policy.cpp
+++ b/hyssopledge/coordination/rollout_policy.cpp
@@ -57,6 +57,9 @@
       return rollBack(Input, Seen.Rule, figures(Seen));
     if (Current.Phase == rollout_phase::Watching)
       return watch(Input);
+    if (Seen.Rule == "overloaded")
+      if (auto Action = stepBack(Input, Seen))
+        return Action;
     if (Input.SinceFull)
       return recheck(Input, Seen);
     return advance(Input, Seen);
@@ -69,6 +72,19 @@
            Seen.Figures;
   }
 
+  std::optional<rollout_action> stepBack(const rollout_input &Input,
+                                         const version_comparison &Seen) const {
+    const std::vector<double> Ladder = shareLadder(Input.Spec);
+    const auto Here = std::lower_bound(Ladder.begin(), Ladder.end(),
+                                       Input.Current.Share - 1e-9);
+    if (Here == Ladder.begin() || !Input.OldTargets)
+      return std::nullopt;
+    if (Input.Overloads >= Settings.MaxOverloads)
+      return rollBack(Input, "overloaded_again", figures(Seen));
+    return rollout_action{*std::prev(Here), rollout_phase::Running,
+                          "overloaded", figures(Seen)};
+  }
+
   std::optional<rollout_action> watch(const rollout_input &Input) const {
     // The exact length of the watch counts from the first time at 100%.
     if (Input.SinceFull && *Input.SinceFull >= Input.Spec.WatchAfterward)
@@ -114,6 +130,9 @@
 
   std::optional<rollout_action> advance(const rollout_input &Input,
                                         const version_comparison &Seen) const {
+    if (Input.LastRule == "overloaded" &&
+        Input.SinceStep < Settings.OverloadWait * Input.Overloads)
+      return std::nullopt;
     if (!Input.NewTargets)
       return note(Input, "no_new_targets", "no target of the new version");
     if (Input.SinceStep < stepTime(Input))
--- a/hyssopledge/coordination/rollout_policy.h
+++ b/hyssopledge/coordination/rollout_policy.h
@@ -24,7 +24,8 @@
   /// new coordinator waits for evidence of its own.
   std::chrono::milliseconds SinceStep{};
   std::optional<std::chrono::milliseconds>
-      SinceFull; // since the share first reached 1
+      SinceFull;          // since the share first reached 1
+  unsigned Overloads = 0; // steps back by the rule "overloaded" so far
   bool CondemnedByVotes = false;
   bool MayRaise = true; // false while the platform can't record a step
   /// Most members have reported lately; without reports an absence of failures
@@ -71,6 +72,11 @@
 /// miss the deadline for certain and spare few calls. This is the one exception
 /// from max_unproven_share; the test goes on at each step.
 ///
+/// Overload: when the new version's targets refuse calls and it is slower, the
+/// share goes one step back, since moved traffic may have overloaded good
+/// targets. It rises again after OverloadWait for each such step. After
+/// MaxOverloads steps the version is rolled back: it does not bear the load.
+///
 /// After the move: the old version gets no calls to compare with, so the new
 /// one is compared with the last figures of the old. When it looks bad, the
 /// share goes to 50% and the two are compared in the same period; then it is
@@ -86,6 +92,8 @@
   double PlannedEnd = 0.6; // of complete_within; 0.7 is promised, the rest is
                            // for acknowledgements and one late check
   std::chrono::seconds LeastStep{6}; // 3 reports: some seconds of full effect
+  std::chrono::seconds OverloadWait{30};
+  unsigned MaxOverloads = 3;
   double RecheckShare = 0.5;
   double BaselineShare = 0.95; // while a new coordinator learns the figures of
                                // the old version
--- a/hyssopledge/coordination/version_test.cpp
+++ b/hyssopledge/coordination/version_test.cpp
@@ -27,12 +27,14 @@
 struct counts {
   double Calls = 0;
   double Failures = 0;
+  double Refused = 0;
   std::uint64_t LatencyCount = 0;
   std::array<std::uint64_t, LatencyBuckets> Latency{};
 
   void add(const evidence_cell &Cell) {
     Calls += static_cast<double>(Cell.calls());
     Failures += static_cast<double>(Cell.Failures);
+    Refused += static_cast<double>(Cell.Refused);
     for (std::size_t I = 0; I < LatencyBuckets; ++I) {
       Latency[I] += Cell.Latency[I];
       LatencyCount += Cell.Latency[I];
@@ -301,6 +303,18 @@
   };
   if (Errors.LogRatio > Limit)
     return Say(version_verdict::Bad, true, "error_rate", rateFigures(Errors));
+  double Refused = 0;
+  for (const centre &Centre : Centres)
+    Refused += Centre.New.Refused;
+  const bool Slowed =
+      (Latency.Known &&
+       Excess >
+           Deviation * mixtureWidth(Latency.Variance, Settings.FalseAlarm)) ||
+      Slow.LogRatio > Limit;
+  if (Slowed &&
+      Refused > Settings.OverloadRefusals * (Refused + Errors.Sum.NewCalls))
+    return Say(version_verdict::Undecided, true, "overloaded",
+               format("%.0f refused; ", Refused) + LatencyFigures());
   if (Latency.Known &&
       Excess > Deviation * mixtureWidth(Latency.Variance, Settings.FalseAlarm))
     return Say(version_verdict::Bad, true, "latency", LatencyFigures());
@@ -337,6 +351,7 @@
                          const test_settings &Settings) {
   const std::vector<std::size_t> Removable = Series.removable();
   version_comparison Result;
+  std::optional<version_comparison> Overloaded;
   bool Suspicious = false;
   for (std::size_t Window : Windows) {
     version_comparison Total =
@@ -348,8 +363,12 @@
                  version_verdict::Bad;
         }))
       return Total;
+    if (Total.Rule == "overloaded")
+      Overloaded = Total;
     Result = std::move(Total);
   }
+  if (Overloaded)
+    return *Overloaded;
   // The last window is SinceStep.
   if (!Suspicious)
     return Result;
--- a/tests/version_test.cpp
+++ b/tests/version_test.cpp
@@ -203,3 +203,34 @@
     CHECK(compareVersions(Sums, "v1", "v2", {}).Verdict == Case.Verdict);
   }
 }
+
+TEST_CASE("slowness of overloaded targets is no verdict, failures are") {
+  struct load_case {
+    const char *Name;
+    double FailureRate, MedianMs;
+    std::uint64_t Refused;
+    version_verdict Verdict;
+    const char *Rule;
+  };
+  const load_case Cases[] = {
+      {"slow", 0.005, 80, 0, version_verdict::Bad, "latency"},
+      {"slow, refusing", 0.005, 80, 50, version_verdict::Undecided,
+       "overloaded"},
+      {"failing, refusing", 0.5, 80, 50, version_verdict::Bad, "error_rate"},
+      {"refusing only", 0.005, 12, 50, version_verdict::GoodEnough, "as_good"},
+  };
+  for (const load_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    state::random_engine Random(5);
+    const stratum_key Old{"v1", "all", "dc1", "dc1"};
+    const stratum_key New{"v2", "all", "dc1", "dc1"};
+    evidence_sums Sums{
+        {&Old, tests::sampleCalls(Random, 2000, {})},
+        {&New,
+         tests::sampleCalls(Random, 1000, {Case.FailureRate, Case.MedianMs})}};
+    Sums[1].Cell.Refused = Case.Refused;
+    const auto Seen = compareVersions(Sums, "v1", "v2", {});
+    CHECK(Seen.Verdict == Case.Verdict);
+    CHECK(Seen.Rule == Case.Rule);
+  }
+}
