--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -229,6 +229,29 @@
   CHECK(World.Violations.empty());
 }
 
+TEST_CASE("calls made under another step do not count") {
+  rollout_world World(8, 1);
+  World.accept(rolloutSnapshot(5, "v1", "v2"));
+  World.seconds(20);
+  const auto Record = World.recorded();
+  for (bool Present : {false, true}) {
+    const std::uint64_t Step = Record->step() + (Present ? 0 : 1);
+    for (int I = 0; I < 6; ++I) {
+      control::report_request Report;
+      Report.set_from_instance("late" + std::to_string(I));
+      auto &From = *Report.add_evidence();
+      From.set_reporter(Report.from_instance());
+      evidence_cell Cell;
+      Cell.Failures = 50;
+      *From.add_entries() = encodeEvidence("sizing", directiveRevision(5, Step),
+                                           {"v2", "all", "dc1", "dc1"}, Cell);
+      World.Nodes[0]->Coordinator.onReport(Report, World.Now);
+    }
+    World.seconds(2);
+    CHECK((phase(World) == rollout_phase::RolledBack) == Present);
+  }
+}
+
 TEST_CASE("the document decides on the record") {
   struct plan_case {
     const char *Name;
