--- a/apps/hyssopctl/main.cpp
+++ b/apps/hyssopctl/main.cpp
@@ -50,7 +50,17 @@
                           : "uid " + std::to_string(::getuid());
 }
 
+/// What popt fills in; it allocates the texts.
 struct raw_options {
+  raw_options() = default;
+  ~raw_options() {
+    for (const char *Text :
+         {Platform, SettingsFile, Author, Environment, Output, From, To})
+      std::free(const_cast<char *>(Text));
+  }
+  raw_options(const raw_options &) = delete;
+  raw_options &operator=(const raw_options &) = delete;
+
   const char *Platform = nullptr;
   const char *SettingsFile = nullptr;
   const char *Author = nullptr;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -90,7 +90,9 @@
     Text[At % Text.size()] = Byte;
     Text.resize(Text.size() - Cut % 3U * (At % Text.size()) / 2);
     auto Parsed = protocol::parseDaemonSettings(Text);
-    RC_ASSERT(Parsed.has_value() || !Parsed.error().Detail.empty());
+    // RC_ASSERT takes the expression apart, so || would not stop early in it.
+    const bool Explained = Parsed.has_value() || !Parsed.error().Detail.empty();
+    RC_ASSERT(Explained);
     (void)protocol::parseOperatorSettings(Text);
   }));
 }
