Close the listener before the loops settle at shutdown

The listener's destructor posted to the loops after they had settled, so the first loop was destroyed while a handler of the second still held an acceptor and a timer of the first. Seen with the address sanitizer as a heap use-after-free in every case of data_plane_test, data_plane_faults_test and the span case of admin_server_test; all three pass with it now.

--- a/bench/bench_hop.cpp
+++ b/bench/bench_hop.cpp
@@ -277,8 +277,9 @@
     Measure(Grpc, GrpcFigures);
   }
   Server->Shutdown();
-  Upstream->close();
   Loops.stop();
+  Upstream.reset();
+  Loops.settle();
 
   const auto Median = [](const std::vector<double> &Values) {
     return quantile(Values, 0.5);
--- a/hyssopledge/transport/data_plane.cpp
+++ b/hyssopledge/transport/data_plane.cpp
@@ -65,8 +65,9 @@
 
   ~impl() {
     Loops.stop();
-    if (Listener)
-      Listener->close(); // cancels what the requests wait for
+    // Closes connections and cancels what their requests wait for. Its own
+    // destructor would post to the loops after they have settled.
+    Listener.reset();
     DrainTimer.cancel();
     Core.Gate->stop();
     Loops.settle();
