--- a/apps/hyssopd/rollout_runtime.cpp
+++ b/apps/hyssopd/rollout_runtime.cpp
@@ -115,11 +115,8 @@
 }
 
 void rollout_runtime::reportEvidence() {
-  std::map<std::string, std::uint64_t> Revisions;
-  for (const auto &[Service, Directive] : Directives->ByService)
-    Revisions[Service] =
-        coordination::directiveRevision(Directive.Generation, Directive.Step);
-  const std::vector<control::evidence> Drained = Recorder.drain(Revisions);
+  const std::vector<control::evidence> Drained =
+      Recorder.drain(Book.revisions());
   if (Drained.empty())
     return;
   OwnVoter.addOwn(Drained);
