Bench real daemons: convergence, bytes by cause, processor time and memory

fleet_scale starts 8 to 128 daemons with a document of 110 services; fleet_faults freezes, kills and restarts some, also while the platform is down. The status page now shows control bytes by cause.

--- a/apps/hyssopd/daemon.cpp
+++ b/apps/hyssopd/daemon.cpp
@@ -56,6 +56,22 @@
                                Payload.incarnation(), Payload.in_flight()};
 }
 
+json trafficJson(const transport::traffic_counters &Traffic) {
+  using transport::traffic_cause;
+  static constexpr std::pair<traffic_cause, const char *> Causes[] = {
+      {traffic_cause::Membership, "membership"},
+      {traffic_cause::Document, "document"},
+      {traffic_cause::Renewal, "renewal"},
+      {traffic_cause::Report, "report"},
+      {traffic_cause::Sync, "sync"},
+  };
+  json Bytes = json::object();
+  for (const auto &[Cause, Name] : Causes)
+    Bytes[Name] = {{"in", Traffic.In.of(Cause)},
+                   {"out", Traffic.Out.of(Cause)}};
+  return Bytes;
+}
+
 const char *phaseName(state::rollout_phase Phase) {
   switch (Phase) {
   case state::rollout_phase::Running:
@@ -79,7 +95,7 @@
 daemon::daemon(const protocol::daemon_settings &Chosen)
     : Settings(Chosen), Signals(Context), Timers(Context),
       Metrics(Settings.Instance), View(Stats),
-      Picker(state::makeTwoChoicePicker(Stats)),
+      Picker(state::makeTwoChoicePicker(Stats, Settings.DataCentre)),
       Budget(RetryRatio, RetryReserve), Platform(Context, Settings.Platform) {}
 
 daemon::~daemon() = default;
@@ -349,6 +365,8 @@
   Status["environment"] = Settings.Environment;
   Status["applied_version"] = Control->appliedVersion();
   Status["lease_valid"] = Control->leaseValid(state::boot_clock::now());
+  Status["control_bytes"] = trafficJson(Control->traffic());
+  Status["platform_calls"] = Platform.calls();
   Status["leading"] = Rollouts->leading();
   Status["poison_requests"] = View.current().Poison->Fingerprints.size();
   if (Upstream)
@@ -367,7 +385,7 @@
   Status["rollouts"] = std::move(Listed);
   json Condemned = json::array();
   for (const auto &[Service, Version] : Rollouts->verdicts().Condemned)
-    Condemned.push_back(Service + "/" + Version);
+    Condemned.push_back({{"service", Service}, {"version", Version}});
   Status["condemned"] = std::move(Condemned);
   return Status.dump();
 }
--- a/apps/hyssopd/main.cpp
+++ b/apps/hyssopd/main.cpp
@@ -64,7 +64,7 @@
   const char *Config = nullptr;
   int Check = 0;
   int Version = 0;
-  const poptOption Table[] = {{"config", 'c', POPT_ARG_STRING, &Config, 0,
+  const poptOption Table[] = {{"settings", 's', POPT_ARG_STRING, &Config, 0,
                                "settings file, JSON", "FILE"},
                               {"check", 0, POPT_ARG_NONE, &Check, 0,
                                "check the settings and exit without starting",
@@ -88,7 +88,7 @@
     std::cerr << "hyssopd: "
               << (!BadOption.empty() ? BadOption
                   : Surplus          ? "takes no arguments besides options"
-                                     : "--config FILE is needed")
+                                     : "--settings FILE is needed")
               << "; see --help\n";
     return Usage;
   }
--- /dev/null
+++ b/bench/bench_fleet.cpp
@@ -0,0 +1,272 @@
+/// \file
+/// Fleet figures from real daemons on loopback: convergence, control bytes by
+/// cause, processor time, memory and platform calls.
+#include "bench/bench.h"
+#include "bench/fleet.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <functional>
+#include <thread>
+
+namespace hyssopledge::bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+using steady_clock = std::chrono::steady_clock;
+
+constexpr auto StartTimeout = 60s;
+constexpr auto ConvergenceTimeout = 60s;
+constexpr std::array<const char *, 5> Causes = {"membership", "document",
+                                                "renewal", "report", "sync"};
+
+std::string at(const std::string &Name, unsigned Daemons) {
+  return Name + "@" + std::to_string(Daemons);
+}
+
+double quantile(std::vector<std::chrono::milliseconds> Times, double Share) {
+  if (Times.empty())
+    return NAN;
+  std::sort(Times.begin(), Times.end());
+  const auto Index = static_cast<std::size_t>(
+                         std::ceil(Share * static_cast<double>(Times.size()))) -
+                     1;
+  return static_cast<double>(Times[std::min(Index, Times.size() - 1)].count());
+}
+
+/// Daemons that did not converge count as the timeout.
+void addConvergence(std::vector<row> &Rows, const std::string &Name,
+                    std::vector<std::chrono::milliseconds> Times,
+                    std::size_t Expected) {
+  Times.resize(Expected, ConvergenceTimeout);
+  const std::pair<const char *, double> Shares[] = {
+      {"p50", 0.5}, {"p99", 0.99}, {"worst", 1.0}};
+  for (const auto &[Suffix, Share] : Shares) {
+    row Row;
+    Row.Name = "fleet/convergence/" + Name + "/" + Suffix;
+    Row.Unit = "ms";
+    Row.Value = quantile(Times, Share);
+    Row.Target = "16000";
+    Rows.push_back(std::move(Row));
+  }
+}
+
+row plainRow(std::string Name, std::string Unit, double Value,
+             std::string Target) {
+  row Row;
+  Row.Name = std::move(Name);
+  Row.Unit = std::move(Unit);
+  Row.Value = Value;
+  Row.Target = std::move(Target);
+  return Row;
+}
+
+/// Waits until every daemon knows all members, or the time is over.
+bool awaitMembers(const fleet &Fleet) {
+  const auto End = steady_clock::now() + StartTimeout;
+  while (steady_clock::now() < End) {
+    unsigned Complete = 0;
+    for (unsigned I = 0; I < Fleet.size(); ++I) {
+      const auto Status = Fleet.status(I);
+      if (Status && Status->value("reachable", 0U) >= Fleet.size())
+        ++Complete;
+    }
+    if (Complete == Fleet.size())
+      return true;
+    std::this_thread::sleep_for(500ms);
+  }
+  return false;
+}
+
+/// A promotion in a running fleet; the time counts from before it.
+std::vector<std::chrono::milliseconds>
+promoteAndWait(fleet &Fleet, unsigned Revision,
+               const std::vector<unsigned> &Daemons) {
+  const auto Start = steady_clock::now();
+  const auto Version = Fleet.accept(Revision);
+  if (!Version) {
+    std::fprintf(stderr, "fleet: %s\n", Version.error().text().c_str());
+    return {};
+  }
+  return Fleet.awaitVersion(Daemons, Version.value(), Start,
+                            ConvergenceTimeout);
+}
+
+struct usage_sample {
+  double CpuMs = 0;
+  double ResidentMb = 0;                     // largest
+  std::array<double, Causes.size()> Bytes{}; // in and out, all daemons
+  double PlatformCalls = 0;
+};
+
+usage_sample sample(const fleet &Fleet) {
+  usage_sample Sample;
+  for (unsigned I = 0; I < Fleet.size(); ++I) {
+    const process_usage Usage = Fleet.usage(I);
+    Sample.CpuMs += static_cast<double>(Usage.Cpu.count());
+    Sample.ResidentMb = std::max(Sample.ResidentMb, Usage.ResidentMb);
+    const auto Status = Fleet.status(I);
+    if (!Status || !Status->contains("control_bytes"))
+      continue;
+    for (std::size_t C = 0; C < Causes.size(); ++C) {
+      const json &Bytes = (*Status)["control_bytes"][Causes[C]];
+      Sample.Bytes[C] += Bytes.value("in", 0.0) + Bytes.value("out", 0.0);
+    }
+  }
+  Sample.PlatformCalls = Fleet.platformStats().value("calls", 0.0);
+  return Sample;
+}
+
+/// Usage of a converged fleet over a time with one change each 5 s, many times
+/// the 1,300 changes a day.
+void measureUsage(std::vector<row> &Rows, fleet &Fleet, unsigned &Revision,
+                  std::chrono::seconds Time) {
+  const auto Start = steady_clock::now();
+  const usage_sample Before = sample(Fleet);
+  unsigned Changes = 0;
+  while (steady_clock::now() - Start < Time) {
+    promoteAndWait(Fleet, ++Revision, Fleet.all());
+    ++Changes;
+    std::this_thread::sleep_until(Start + Changes * 5s);
+  }
+  const usage_sample After = sample(Fleet);
+  const double Seconds =
+      std::chrono::duration<double>(steady_clock::now() - Start).count();
+  const double Daemons = Fleet.size();
+  double Total = 0;
+  for (std::size_t C = 0; C < Causes.size(); ++C) {
+    const double Rate = (After.Bytes[C] - Before.Bytes[C]) / Seconds / Daemons;
+    Total += Rate;
+    Rows.push_back(
+        plainRow(at(std::string("fleet/bytes/") + Causes[C], Fleet.size()),
+                 "B/s per daemon", Rate, ""));
+  }
+  Rows.push_back(plainRow(at("fleet/bytes/total", Fleet.size()),
+                          "B/s per daemon", Total, "17000"));
+  Rows.push_back(plainRow(at("fleet/cpu", Fleet.size()), "% of a core",
+                          (After.CpuMs - Before.CpuMs) / 10 / Seconds / Daemons,
+                          "1"));
+  Rows.push_back(plainRow(at("fleet/memory", Fleet.size()), "MB, largest",
+                          After.ResidentMb, "128"));
+  Rows.push_back(
+      plainRow(at("fleet/platform_calls", Fleet.size()), "calls/s",
+               (After.PlatformCalls - Before.PlatformCalls) / Seconds, "2000"));
+}
+
+std::vector<row> scale(const options &Options) {
+  std::vector<row> Rows;
+  const std::vector<unsigned> Sizes =
+      Options.Quick ? std::vector<unsigned>{8}
+                    : std::vector<unsigned>{8, 16, 32, 64, 128};
+  for (unsigned Size : Sizes) {
+    fleet_options Fleet;
+    Fleet.BinaryDir = Options.BinaryDir;
+    Fleet.Daemons = Size;
+    Fleet.DataCentres = 7;
+    Fleet.Services = 110;
+    fleet Running(Fleet);
+    std::this_thread::sleep_for(500ms);
+    const auto Start = steady_clock::now();
+    Running.startAll();
+    unsigned Revision = 1;
+    const auto First = promoteAndWait(Running, Revision, Running.all());
+    const bool Joined = awaitMembers(Running);
+    Rows.push_back(plainRow(at("fleet/start_to_serving", Size),
+                            "ms, all daemons",
+                            First.size() == Size && Joined
+                                ? std::chrono::duration<double, std::milli>(
+                                      steady_clock::now() - Start)
+                                      .count()
+                                : NAN,
+                            ""));
+    std::vector<std::chrono::milliseconds> Times;
+    const unsigned Rounds = Options.Quick ? 2 : 5;
+    for (unsigned I = 0; I < Rounds; ++I) {
+      const auto Round = promoteAndWait(Running, ++Revision, Running.all());
+      Times.insert(Times.end(), Round.begin(), Round.end());
+    }
+    addConvergence(Rows, at("calm", Size), Times, Size * Rounds);
+    measureUsage(Rows, Running, Revision, Options.Quick ? 10s : 30s);
+  }
+  return Rows;
+}
+
+std::vector<row> faults(const options &Options) {
+  std::vector<row> Rows;
+  fleet_options Settings;
+  Settings.BinaryDir = Options.BinaryDir;
+  Settings.Daemons = Options.Quick ? 8 : 32;
+  Settings.Services = 20;
+  fleet Fleet(Settings);
+  std::this_thread::sleep_for(500ms);
+  Fleet.startAll();
+  unsigned Revision = 1;
+  promoteAndWait(Fleet, Revision, Fleet.all());
+  awaitMembers(Fleet);
+
+  // A quarter is frozen while a version is accepted, and wakes 10 s later.
+  std::vector<unsigned> Frozen;
+  std::vector<unsigned> Running;
+  for (unsigned I = 0; I < Fleet.size(); ++I)
+    (I % 4 == 3 ? Frozen : Running).push_back(I);
+  for (unsigned I : Frozen)
+    Fleet.freezeDaemon(I, true);
+  addConvergence(Rows, "others_frozen",
+                 promoteAndWait(Fleet, ++Revision, Running), Running.size());
+  std::this_thread::sleep_for(10s);
+  const auto Woken = steady_clock::now();
+  for (unsigned I : Frozen)
+    Fleet.freezeDaemon(I, false);
+  addConvergence(
+      Rows, "after_wake",
+      Fleet.awaitVersion(Frozen, Revision, Woken, ConvergenceTimeout),
+      Frozen.size());
+
+  // A third is killed and returns while a version is accepted.
+  std::vector<unsigned> Herd;
+  for (unsigned I = 0; I < Fleet.size(); I += 3)
+    Herd.push_back(I);
+  for (unsigned I : Herd)
+    Fleet.killDaemon(I);
+  for (unsigned I : Herd)
+    Fleet.startDaemon(I);
+  addConvergence(Rows, "herd_returns",
+                 promoteAndWait(Fleet, ++Revision, Fleet.all()), Fleet.size());
+
+  // Daemons restart while the platform is down: version and floor come from
+  // peers.
+  Fleet.setPlatformDown(true);
+  for (unsigned I : Herd)
+    Fleet.killDaemon(I);
+  const auto Restarted = steady_clock::now();
+  for (unsigned I : Herd)
+    Fleet.startDaemon(I);
+  addConvergence(
+      Rows, "restart_platform_down",
+      Fleet.awaitVersion(Herd, Revision, Restarted, ConvergenceTimeout),
+      Herd.size());
+  std::this_thread::sleep_for(15s);
+  Fleet.setPlatformDown(false);
+  const auto Back = steady_clock::now();
+  state::result<std::uint64_t> Accepted =
+      state::failure(state::errc::Unavailable, "");
+  while (!Accepted && steady_clock::now() - Back < ConvergenceTimeout)
+    Accepted = Fleet.accept(++Revision);
+  addConvergence(Rows, "after_outage",
+                 Accepted ? Fleet.awaitVersion(Fleet.all(), Accepted.value(),
+                                               Back, ConvergenceTimeout)
+                          : std::vector<std::chrono::milliseconds>(),
+                 Fleet.size());
+  return Rows;
+}
+
+const registration RegisterScale("fleet_scale", scale);
+const registration RegisterFaults("fleet_faults", faults);
+
+} // namespace
+
+} // namespace hyssopledge::bench
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -136,7 +136,7 @@
 void fleet::startDaemon(unsigned Index) {
   Daemons[Index] = std::make_unique<child_process>(
       Options.BinaryDir + "/apps/hyssopd/hyssopd",
-      std::vector<std::string>{"--config", writeSettings(Index)},
+      std::vector<std::string>{"--settings", writeSettings(Index)},
       Folder + "/i" + std::to_string(Index) + ".out");
 }
 
--- a/hyssopledge/coordination/convergence.cpp
+++ b/hyssopledge/coordination/convergence.cpp
@@ -10,9 +10,9 @@
 using state::time_point;
 
 void acknowledgement_tracker::onHead(std::uint64_t NewVersion,
-                                 std::int64_t Accepted,
-                                 const state::lease_spec &Spec,
-                                 time_point Now) {
+                                     std::int64_t Accepted,
+                                     const state::lease_spec &Spec,
+                                     time_point Now) {
   if (NewVersion <= Version)
     return;
   Version = NewVersion;
@@ -21,8 +21,8 @@
   HeadSeen = Now;
 }
 
-void acknowledgement_tracker::onMembers(const std::vector<control::member> &Listed,
-                                    time_point Now) {
+void acknowledgement_tracker::onMembers(
+    const std::vector<control::member> &Listed, time_point Now) {
   std::set<std::string> Names;
   for (const control::member &Member : Listed) {
     if (Member.status() == control::MEMBER_LEFT) {
@@ -86,8 +86,8 @@
 }
 
 bool acknowledgement_tracker::leaseEnded(const known_member &Member,
-                                     time_point ChangedAt,
-                                     time_point Now) const {
+                                         time_point ChangedAt,
+                                         time_point Now) const {
   const time_point Last =
       Member.Heard
           ? std::max(Member.HeardAt, ChangedAt) +
@@ -98,7 +98,7 @@
 }
 
 bool acknowledgement_tracker::cutOff(const known_member &Member,
-                                 time_point Now) const {
+                                     time_point Now) const {
   return !Member.Heard || Now - Member.HeardAt > ReportAge;
 }
 
@@ -116,7 +116,7 @@
 
 control::convergence
 acknowledgement_tracker::state(time_point Now,
-                           std::chrono::milliseconds UnixNow) const {
+                               std::chrono::milliseconds UnixNow) const {
   constexpr int MaxWaiting = 20;
   control::convergence Said;
   std::uint32_t Acknowledged = 0;
@@ -142,10 +142,10 @@
 }
 
 bool acknowledgement_tracker::directiveInForce(const std::string &Service,
-                                           std::uint64_t Generation,
-                                           std::uint64_t Step,
-                                           time_point ChangedAt,
-                                           time_point Now) const {
+                                               std::uint64_t Generation,
+                                               std::uint64_t Step,
+                                               time_point ChangedAt,
+                                               time_point Now) const {
   if (Members.empty() || halfCutOff(Now))
     return false;
   return std::all_of(Members.begin(), Members.end(), [&](const auto &Entry) {
--- a/hyssopledge/coordination/version_voter.cpp
+++ b/hyssopledge/coordination/version_voter.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 version_voter::version_voter(std::string Voter, test_settings Settings)
-    : Voter(std::move(Voter)), Settings(std::move(Settings)) {}
+    : Voter(std::move(Voter)), Settings(Settings) {}
 
 void version_voter::onDirectives(const state::directive_table &Directives) {
   std::erase_if(Watched, [&Directives](const auto &Item) {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -54,8 +54,8 @@
  "platform": {"endpoints": ["127.0.0.1:18000"]},
  "log_file": "$work/$1.log", "trace_file": "$work/$1.spans"}
 JSON
-  "$build/apps/hyssopd/hyssopd" --config "$work/$1.json" --check >/dev/null
-  start "$1" "$build/apps/hyssopd/hyssopd" --config "$work/$1.json"
+  "$build/apps/hyssopd/hyssopd" --settings "$work/$1.json" --check >/dev/null
+  start "$1" "$build/apps/hyssopd/hyssopd" --settings "$work/$1.json"
 }
 upstream() { # upstream NAME SERVICE VERSION PORT DAEMON_PORT EXTRA...
   local name=$1 service=$2 version=$3 port=$4 daemon_port=$5; shift 5
