Keep a repeated idempotency key from running at a home that forgot it

Cause: the home daemon forgets its keys when it restarts or when another instance becomes the home, so a caller's second send ran again. The entry daemon now remembers the keys that it sent and marks a repeated one (x-hyssop-key-repeated); a home that does not know a marked key answers unknown. Ruled out: copying each key to a second daemon, which costs a round trip in each keyed call. Seen red first: without the mark, 2 runs instead of 1 in 'a home that restarted does not run a key again'. Not covered: a second send through another entry daemon after such a change.

Also: nothing is said to be in force until the coordinator knows all members.

--- a/apps/hyssopd/daemon.cpp
+++ b/apps/hyssopd/daemon.cpp
@@ -346,7 +346,8 @@
 void daemon::onTick(time_point Now) {
   Poison.expire(Now);
   refreshPoison(Now);
-  Rollouts->tick(Now, Control->agent().platformDown());
+  Rollouts->tick(Now, Control->agent().platformDown(),
+                 Control->agent().membersKnown());
   updateMetrics(Now);
 }
 
--- a/apps/hyssopd/rollout_runtime.cpp
+++ b/apps/hyssopd/rollout_runtime.cpp
@@ -144,7 +144,9 @@
     refresh();
 }
 
-void rollout_runtime::tick(state::time_point Now, bool PlatformDown) {
+void rollout_runtime::tick(state::time_point Now, bool PlatformDown,
+                           bool MembersKnown) {
+  Coordinator.setMembersKnown(MembersKnown);
   if (Now >= SliceEnds) {
     SliceEnds = Now + SliceLength;
     closeSlice(PlatformDown);
--- a/apps/hyssopd/rollout_runtime.h
+++ b/apps/hyssopd/rollout_runtime.h
@@ -51,7 +51,7 @@
   /// At a relay, from the daemons of its data centre.
   void onMemberReport(const control::report_request &Report);
   /// Call it once a second.
-  void tick(state::time_point Now, bool PlatformDown);
+  void tick(state::time_point Now, bool PlatformDown, bool MembersKnown);
 
   const state::directive_table &directives() const { return *Directives; }
   const state::verdict_table &verdicts() const { return *Verdicts; }
--- a/hyssopledge/coordination/control_agent.h
+++ b/hyssopledge/coordination/control_agent.h
@@ -125,6 +125,8 @@
   state::milliseconds leaseRemaining(state::time_point Now) const {
     return Holder.remaining(Now);
   }
+  /// Whether this daemon surely knows all members, see convergence_tracker.
+  bool membersKnown() const { return Tracker.joined(); }
   /// Whether this daemon's last read of the platform failed.
   bool platformDown() const { return PlatformDown; }
 
--- a/hyssopledge/coordination/convergence.h
+++ b/hyssopledge/coordination/convergence.h
@@ -35,6 +35,10 @@
   void onAcknowledgement(const control::report_request::acknowledgement &Ack,
                          state::time_point Now);
 
+  /// A daemon that started together with the fleet may not know all members
+  /// yet; nothing is said to be in force until it does.
+  void setMembersKnown(bool Known) { MembersKnown = Known; }
+
   /// In force everywhere only when each member counts as above, at least one
   /// has acknowledged, and fewer than half are cut off.
   control::convergence state(state::time_point Now,
@@ -70,6 +74,7 @@
   std::int64_t AcceptedUnixMs = 0;
   state::time_point HeadSeen{};
   state::lease_spec Lease;
+  bool MembersKnown = true;
   std::map<std::string, known_member> Members;
 };
 
--- a/hyssopledge/coordination/coordinator.h
+++ b/hyssopledge/coordination/coordinator.h
@@ -70,6 +70,8 @@
   void onRecord(const control::gossip_record &Record);
   void onMembers(const std::vector<control::member> &Members,
                  state::time_point Now);
+  /// See acknowledgement_tracker::setMembersKnown.
+  void setMembersKnown(bool Known) { Convergence.setMembersKnown(Known); }
   /// Call it about once a second.
   void tick(state::time_point Now, std::chrono::milliseconds UnixNow);
 
--- a/hyssopledge/protocol/call_headers.h
+++ b/hyssopledge/protocol/call_headers.h
@@ -14,8 +14,7 @@
 constexpr char Depth[] = "x-hyssop-depth"; // hops above, at most MaxDepth
 constexpr char IdempotencyKey[] = "idempotency-key"; // set by the caller
 
-//--- Request from the entry daemon to the daemon beside the target
-//------------------
+//--- Request between daemons --------------------------------------------------
 constexpr char TargetService[] =
     "x-hyssop-service"; // present: this is a call from another daemon
 constexpr char TargetVersion[] = "x-hyssop-version";
--- a/hyssopledge/transport/data_plane.cpp
+++ b/hyssopledge/transport/data_plane.cpp
@@ -53,6 +53,7 @@
     Core.GateLoop = &Loops.at(0);
     gate_options Gate;
     Gate.Instance = Core.Options.Instance;
+    Core.Keys = std::make_unique<entry_keys>(Core.Options.MaxKeys);
     Gate.MaxKeys = Core.Options.MaxKeys;
     Gate.MaxKeyBytes = Core.Options.MaxKeyBytes;
     Gate.Limits = Core.Hooks.Limits;
--- a/hyssopledge/transport/data_plane_core.h
+++ b/hyssopledge/transport/data_plane_core.h
@@ -2,11 +2,13 @@
 /// What entry calls and target calls share. Internal to the data plane.
 #pragma once
 
+#include "hyssopledge/state/idempotency.h"
 #include "hyssopledge/state/random.h"
 #include "hyssopledge/transport/data_plane.h"
 #include "hyssopledge/transport/upstream_gate.h"
 
 #include <atomic>
+#include <mutex>
 #include <string_view>
 
 namespace hyssopledge::transport {
@@ -22,6 +24,24 @@
   state::random_engine Random;
 };
 
+/// Keys that this daemon has sent as entry daemon, see state/idempotency.h.
+/// Only calls with a key on a route that is not idempotent take its lock.
+class entry_keys {
+public:
+  explicit entry_keys(std::size_t MaxKeys) : Keys(MaxKeys, 0) {}
+
+  state::result<state::key_state> begin(const std::string &Key,
+                                        std::uint64_t Fingerprint,
+                                        state::time_point Now);
+  /// The call has ended; a request that was not run frees its key.
+  void end(const std::string &Key, bool NotRun, state::time_point Now);
+
+private:
+  std::mutex Guard;
+  state::idempotency_table Keys;
+  state::time_point NextExpiry{};
+};
+
 struct plane_core {
   data_plane_options Options;
   data_plane_parts Parts;
@@ -29,6 +49,7 @@
   std::vector<std::unique_ptr<plane_loop>> Loops;
   boost::asio::io_context *GateLoop = nullptr;
   std::unique_ptr<upstream_gate> Gate; // use on GateLoop only, but for load()
+  std::unique_ptr<entry_keys> Keys;
   std::atomic<bool> Draining{false};
 
   void recordCall(call_side Side, std::string_view Outcome,
--- a/hyssopledge/transport/entry_call.cpp
+++ b/hyssopledge/transport/entry_call.cpp
@@ -30,6 +30,16 @@
   return At == End ? std::optional(Hint) : std::nullopt;
 }
 
+/// The same words as those of the home daemon's gate.
+http_response keyRefusal(const state::result<state::key_state> &Found) {
+  if (Found.has_value())
+    return daemonAnswer(409, Unknown, "in-progress",
+                        "a request with this idempotency key is in progress");
+  if (Found.error().is(state::errc::Conflict))
+    return daemonAnswer(422, NotRun, "key-reused", Found.error().text());
+  return daemonAnswer(503, NotRun, "key-table-full", Found.error().text());
+}
+
 class entry_call : public std::enable_shared_from_this<entry_call> {
 public:
   entry_call(plane_core &Core, std::shared_ptr<server_exchange> Caller)
@@ -40,6 +50,8 @@
     Span = startHopSpan(Core, "entry", request());
     if (auto Refusal = check())
       return answer(std::move(*Refusal));
+    if (auto Refusal = beginKey())
+      return answer(std::move(*Refusal));
     if (Span)
       Span->SetTag("hyssop.route", Route->Name);
     Core.Parts.Budget.recordCall();
@@ -103,6 +115,26 @@
     return std::nullopt;
   }
 
+  //--- Idempotency key --------------------------------------------------------
+  std::optional<http_response> beginKey() {
+    if (Call.IdempotencyKey.empty() || Route->Idempotent)
+      return std::nullopt;
+    const auto Found =
+        Core.Keys->begin(Call.IdempotencyKey, Call.Fingerprint, Started);
+    if (!Found || Found.value() == state::key_state::InProgress)
+      return keyRefusal(Found);
+    HoldsKey = true;
+    KeyRepeated = Found.value() != state::key_state::New;
+    return std::nullopt;
+  }
+
+  /// A repeated key stays known whatever became of this sending.
+  void endKey(bool NotRun) {
+    if (std::exchange(HoldsKey, false))
+      Core.Keys->end(Call.IdempotencyKey, NotRun && !KeyRepeated,
+                     boot_clock::now());
+  }
+
   //--- Attempts ---------------------------------------------------------------
   void attempt() {
     AttemptStarted = boot_clock::now();
@@ -131,6 +163,9 @@
     Request.set(headers::TargetService, Target.Target.Service);
     Request.set(headers::TargetVersion, Target.Target.Version);
     Request.set(headers::TargetRoute, Route->Name);
+    Request.erase(headers::KeyRepeated);
+    if (KeyRepeated)
+      Request.set(headers::KeyRepeated, "1");
     Request.set(headers::DeadlineMs, std::to_string(millisecondsLeft(
                                          Call.Deadline, AttemptStarted)));
     // Counts this attempt, so that the hops below have at least one.
@@ -182,6 +217,7 @@
     const state::time_point Now = boot_clock::now();
     if (Result.Cause == exchange_cause::Cancelled) {
       report(attempt_outcome::Cancelled, Now);
+      endKey(false);
       Core.recordCall(call_side::Entry, "cancelled", "", Started);
       finishSpan(0, "cancelled");
       return;
@@ -264,6 +300,7 @@
       Response.set(headers::Retried, "1");
     const std::string Outcome(fieldValue(Response, headers::Outcome));
     const std::string Reason(fieldValue(Response, headers::Reason));
+    endKey(Outcome == NotRun);
     Core.recordCall(call_side::Entry, Outcome.empty() ? Ran : Outcome, Reason,
                     Started);
     finishSpan(Response.result_int(), Outcome);
@@ -302,10 +339,36 @@
   std::optional<http_response> LastRun; // of an attempt that may have run
   unsigned Attempts = 0;
   bool BelowRetried = false;
+  bool HoldsKey = false;
+  bool KeyRepeated = false; // sent before by this daemon
 };
 
 } // namespace
 
+state::result<state::key_state> entry_keys::begin(const std::string &Key,
+                                                  std::uint64_t Fingerprint,
+                                                  state::time_point Now) {
+  constexpr std::chrono::seconds ExpiryInterval{10};
+  const std::lock_guard<std::mutex> Lock(Guard);
+  if (Now >= NextExpiry) {
+    Keys.expire(Now);
+    NextExpiry = Now + ExpiryInterval;
+  }
+  const auto Found = Keys.begin(Key, Fingerprint, Now);
+  if (!Found)
+    return Found.error();
+  return Found.value().State;
+}
+
+void entry_keys::end(const std::string &Key, bool NotRun,
+                     state::time_point Now) {
+  const std::lock_guard<std::mutex> Lock(Guard);
+  if (NotRun)
+    Keys.release(Key);
+  else
+    Keys.markUnknown(Key, Now);
+}
+
 void startEntryCall(plane_core &Core, std::shared_ptr<server_exchange> Caller) {
   std::make_shared<entry_call>(Core, std::move(Caller))->start();
 }
--- a/hyssopledge/transport/target_call.cpp
+++ b/hyssopledge/transport/target_call.cpp
@@ -50,6 +50,7 @@
     if (!idempotentRoute(*View))
       Enter.Key = fieldValue(Request, headers::IdempotencyKey);
     Keyed = !Enter.Key.empty();
+    Enter.KeyRepeated = fieldValue(Request, headers::KeyRepeated) == "1";
     Caller->onCancel([Self = shared_from_this()] { Self->callerGone(); });
     asio::post(*Core.GateLoop,
                [Self = shared_from_this(), Enter = std::move(Enter)]() mutable {
@@ -125,6 +126,7 @@
     Request.erase(headers::TargetService);
     Request.erase(headers::TargetVersion);
     Request.erase(headers::TargetRoute);
+    Request.erase(headers::KeyRepeated);
     Request.set(headers::DeadlineMs,
                 std::to_string(millisecondsLeft(Deadline, boot_clock::now())));
     if (Span)
--- a/hyssopledge/transport/upstream_gate.cpp
+++ b/hyssopledge/transport/upstream_gate.cpp
@@ -139,8 +139,14 @@
 upstream_gate::lookUpKey(const gate_request &Request) {
   if (Request.Key.empty())
     return std::nullopt;
-  const auto Found =
-      Keys.begin(Request.Key, Request.Fingerprint, boot_clock::now());
+  const state::time_point Now = boot_clock::now();
+  if (Request.KeyRepeated) {
+    const auto Adopted =
+        Keys.adoptRepeated(Request.Key, Request.Fingerprint, Now);
+    if (Adopted.has_error())
+      return refusal(503, NotRun, "key-table-full", Adopted.error().text());
+  }
+  const auto Found = Keys.begin(Request.Key, Request.Fingerprint, Now);
   if (Found.has_error()) {
     if (Found.error().is(state::errc::Conflict))
       return refusal(422, NotRun, "key-reused", Found.error().text());
--- a/hyssopledge/transport/upstream_gate.h
+++ b/hyssopledge/transport/upstream_gate.h
@@ -39,6 +39,7 @@
   std::string Service;
   std::string Version;
   std::string Key; // idempotency key; empty: the request is not remembered
+  bool KeyRepeated = false; // the entry daemon has sent the key before
   std::uint64_t Fingerprint = 0;
   state::time_point Deadline{};
 };
--- a/tests/coordinator_test.cpp
+++ b/tests/coordinator_test.cpp
@@ -344,6 +344,10 @@
     }
     const auto Later = Now + std::chrono::seconds(Case.After);
     CHECK(Tracker.state(Later, {}).in_force_everywhere() == Case.InForce);
+    // A daemon that may not know all members says nothing.
+    Tracker.setMembersKnown(false);
+    CHECK(!Tracker.state(Later, {}).in_force_everywhere());
+    CHECK(!Tracker.directiveInForce("s", 1, 1, Now, Later));
   }
 }
 
--- a/tests/data_plane_faults_test.cpp
+++ b/tests/data_plane_faults_test.cpp
@@ -318,6 +318,26 @@
   CHECK(Runs == 1);
 }
 
+TEST_CASE("data plane: a home that restarted does not run a key again") {
+  std::atomic<unsigned> Runs{0};
+  scripted_upstream Upstream([&](upstream_connection &Connection) {
+    while (Connection.read())
+      Connection.answer("booked " + std::to_string(++Runs), 201);
+  });
+  test_daemon Entry("entry-0");
+  Entry.start();
+  for (const char *Name : {"target-0", "target-0"}) {
+    // The second one knows nothing of what the first one ran.
+    test_daemon Home(Name);
+    Home.start();
+    Home.publish(testView({}));
+    Home.announce(Upstream.address());
+    Entry.publish(testView({Home.address()}));
+    callOnce(Entry.address(), booking("a"));
+  }
+  CHECK(Runs == 1);
+}
+
 //-----------------------------------------------------------------------------
 // Crashes
 //-----------------------------------------------------------------------------
