--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -37,6 +37,9 @@
   json Document = {{"environment", Environment},
                    {"services", json::array()},
                    {"routes", json::array()}};
+  if (Options.Lease.count() > 0)
+    Document["lease"] = {{"initial_s", Options.Lease.count()},
+                         {"max_s", Options.Lease.count()}};
   for (unsigned I = 0; I < Options.Services; ++I) {
     const std::string Name = "service-" + std::to_string(I);
     Document["services"].push_back(
@@ -53,7 +56,7 @@
 
 } // namespace
 
-std::optional<std::string> httpCall(std::uint16_t Port, const std::string &Path,
+std::optional<http_answer> httpCall(std::uint16_t Port, const std::string &Path,
                                     const std::string &PostBody) {
   namespace beast = boost::beast;
   namespace http = beast::http;
@@ -86,9 +89,9 @@
             });
       });
   Context.run();
-  if (!Answered || Response.result_int() >= 300)
+  if (!Answered)
     return std::nullopt;
-  return Response.body();
+  return http_answer{Response.result_int(), std::move(Response.body())};
 }
 
 fleet::fleet(fleet_options Chosen) : Options(std::move(Chosen)) {
@@ -189,20 +192,38 @@
 }
 
 bool fleet::setPlatformDown(bool Down) {
-  return httpCall(Options.FirstPort + 1, "/fault", json{{"down", Down}}.dump())
-      .has_value();
+  const auto Answer =
+      httpCall(Options.FirstPort + 1, "/fault", json{{"down", Down}}.dump());
+  return Answer && Answer->Status < 300;
 }
 
 json fleet::platformStats() const {
-  const auto Text = httpCall(Options.FirstPort + 1, "/stats");
-  return Text ? json::parse(*Text, nullptr, false) : json();
+  const auto Answer = httpCall(Options.FirstPort + 1, "/stats");
+  return Answer && Answer->Status == 200
+             ? json::parse(Answer->Body, nullptr, false)
+             : json();
+}
+
+bool fleet::awaitPlatform(std::chrono::milliseconds Timeout) const {
+  const auto End = std::chrono::steady_clock::now() + Timeout;
+  while (std::chrono::steady_clock::now() < End) {
+    if (platformStats().is_object())
+      return true;
+    std::this_thread::sleep_for(PollInterval);
+  }
+  return false;
+}
+
+std::optional<http_answer> fleet::call(unsigned Index,
+                                       const std::string &Path) const {
+  return httpCall(port(Index, Data), Path);
 }
 
 std::optional<json> fleet::status(unsigned Index) const {
-  const auto Text = httpCall(port(Index, Admin), "/status");
-  if (!Text)
+  const auto Answer = httpCall(port(Index, Admin), "/status");
+  if (!Answer || Answer->Status != 200)
     return std::nullopt;
-  json Status = json::parse(*Text, nullptr, false);
+  json Status = json::parse(Answer->Body, nullptr, false);
   if (!Status.is_object())
     return std::nullopt;
   return Status;
--- a/bench/fleet.h
+++ b/bench/fleet.h
@@ -21,9 +21,15 @@
   unsigned Daemons = 8;
   unsigned DataCentres = 4;
   unsigned Services = 4;           // of the document
+  std::chrono::seconds Lease{0};   // initial and cap; 0: the default
   std::uint16_t FirstPort = 20000; // four ports for each daemon from here on
 };
 
+struct http_answer {
+  unsigned Status = 0;
+  std::string Body;
+};
+
 class fleet {
 public:
   /// Starts the platform stand-in; daemons start with startDaemon.
@@ -52,6 +58,10 @@
   nlohmann::json platformStats() const;
 
   //--- Observation ----------------------------------------------------------
+  /// Answer of the daemon to a caller's GET; nothing when there is none.
+  std::optional<http_answer> call(unsigned Index,
+                                  const std::string &Path) const;
+  bool awaitPlatform(std::chrono::milliseconds Timeout) const;
   /// Body of /status; nothing when the daemon does not answer.
   std::optional<nlohmann::json> status(unsigned Index) const;
   /// Waits until each daemon of the list applies at least the version. Returns
@@ -74,7 +84,7 @@
 };
 
 /// One GET or POST over HTTP on loopback; nothing when it fails.
-std::optional<std::string> httpCall(std::uint16_t Port, const std::string &Path,
+std::optional<http_answer> httpCall(std::uint16_t Port, const std::string &Path,
                                     const std::string &PostBody = "");
 
 } // namespace hyssopledge::bench
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,109 @@
+/// \file
+/// Guards promises 1 and 10 on real processes: kills, freezes, restarts without
+/// the platform and a lease that ends.
+#include "bench/fleet.h"
+
+#include <doctest/doctest.h>
+#include <set>
+#include <thread>
+
+using namespace hyssopledge;
+using namespace std::chrono_literals;
+using bench::fleet;
+using steady_clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr auto ConvergenceLimit = 16s; // the stated target
+
+/// Versions that the daemon shows as applied until it shows Last or the time is
+/// over.
+std::set<std::uint64_t> shownVersions(const fleet &Fleet, unsigned Index,
+                                      std::uint64_t Last) {
+  std::set<std::uint64_t> Shown;
+  const auto End = steady_clock::now() + ConvergenceLimit;
+  while (!Shown.contains(Last) && steady_clock::now() < End) {
+    if (const auto Status = Fleet.status(Index))
+      Shown.insert(Status->value("applied_version", std::uint64_t{0}));
+    std::this_thread::sleep_for(20ms);
+  }
+  return Shown;
+}
+
+/// Body of the first refusal for the reason, or nothing within the time.
+std::string awaitRefusal(const fleet &Fleet, unsigned Index,
+                         const std::string &Reason,
+                         std::chrono::seconds Limit) {
+  const auto End = steady_clock::now() + Limit;
+  while (steady_clock::now() < End) {
+    const auto Answer = Fleet.call(Index, "/service-0/x");
+    if (Answer && Answer->Status == 503 &&
+        Answer->Body.find(Reason) != std::string::npos)
+      return Answer->Body;
+    std::this_thread::sleep_for(100ms);
+  }
+  return "";
+}
+
+} // namespace
+
+TEST_CASE("real daemons converge through kills, freezes and an outage") {
+  bench::fleet_options Options;
+  Options.BinaryDir = HYSSOPLEDGE_BIN_DIR;
+  Options.Daemons = 5;
+  Options.DataCentres = 2;
+  Options.Services = 2;
+  Options.FirstPort = 23000;
+  Options.Lease = 6s;
+  fleet Fleet(Options);
+  REQUIRE(Fleet.awaitPlatform(10s));
+  Fleet.startAll();
+
+  auto Start = steady_clock::now();
+  auto Version = Fleet.accept(1);
+  REQUIRE_MESSAGE(Version.has_value(), Version.error().text());
+  REQUIRE(Fleet.awaitVersion(Fleet.all(), Version.value(), Start, 30s).size() ==
+          5);
+
+  // A frozen daemon misses a version and gets it when it wakes.
+  Fleet.freezeDaemon(4, true);
+  Start = steady_clock::now();
+  Version = Fleet.accept(2);
+  REQUIRE(Version.has_value());
+  CHECK(
+      Fleet.awaitVersion({0, 1, 2, 3}, Version.value(), Start, ConvergenceLimit)
+          .size() == 4);
+  Fleet.freezeDaemon(4, false);
+  CHECK(Fleet
+            .awaitVersion({4}, Version.value(), steady_clock::now(),
+                          ConvergenceLimit)
+            .size() == 1);
+
+  // Without the platform a restarted daemon has its version from its peers, and
+  // shows none below it.
+  REQUIRE(Fleet.setPlatformDown(true));
+  Fleet.killDaemon(3);
+  Fleet.startDaemon(3);
+  const std::set<std::uint64_t> Shown =
+      shownVersions(Fleet, 3, Version.value());
+  CHECK(Shown.contains(Version.value()));
+  for (std::uint64_t Value : Shown)
+    CHECK((Value == 0 || Value == Version.value()));
+
+  // The last daemon of five is no majority; without the platform its lease
+  // ends and it refuses calls as not run.
+  for (unsigned Index : {0U, 1U, 2U, 4U})
+    Fleet.killDaemon(Index);
+  const std::string Refusal = awaitRefusal(Fleet, 3, "lease-expired", 30s);
+  CHECK(Refusal.find("not-run") != std::string::npos);
+
+  REQUIRE(Fleet.setPlatformDown(false));
+  for (unsigned Index : {0U, 1U, 2U, 4U})
+    Fleet.startDaemon(Index);
+  REQUIRE(Fleet.awaitPlatform(10s));
+  Start = steady_clock::now();
+  Version = Fleet.accept(3);
+  REQUIRE_MESSAGE(Version.has_value(), Version.error().text());
+  CHECK(Fleet.awaitVersion(Fleet.all(), Version.value(), Start, 30s).size() ==
+        5);
+}
