--- a/apps/hyssopd/daemon.cpp
+++ b/apps/hyssopd/daemon.cpp
@@ -274,9 +274,7 @@
   }
   if (const auto Sighting = decodeSighting(Record)) {
     const time_point Now = Timers.now();
-    if (Poison.addSighting(*Sighting, Now))
-      logEvent(log_level::Warn, "poison_request",
-               {{"fingerprint", Sighting->Fingerprint}});
+    noteSighting(*Sighting, Now);
     refreshPoison(Now);
   }
 }
@@ -316,14 +314,19 @@
   Control->setTargets(std::move(Targets));
 }
 
+void daemon::noteSighting(const state::crash_sighting &Sighting,
+                          time_point Now) {
+  if (Poison.addSighting(Sighting, Now))
+    logEvent(log_level::Warn, "poison_request",
+             {{"fingerprint", Sighting.Fingerprint}});
+}
+
 void daemon::onCrash(const std::vector<state::crash_sighting> &Sightings) {
   const time_point Now = Timers.now();
   logEvent(log_level::Warn, "upstream_crash",
            {{"in_flight", Sightings.size()}});
   for (const state::crash_sighting &Sighting : Sightings) {
-    if (Poison.addSighting(Sighting, Now))
-      logEvent(log_level::Warn, "poison_request",
-               {{"fingerprint", Sighting.Fingerprint}});
+    noteSighting(Sighting, Now);
     Control->publish(encodeSighting(Sighting));
   }
   refreshPoison(Now);
--- a/apps/hyssopd/daemon.h
+++ b/apps/hyssopd/daemon.h
@@ -48,6 +48,8 @@
   void onAnnouncement(std::optional<state::upstream_announcement> Announcement);
   void onCrash(const std::vector<state::crash_sighting> &Sightings);
   void onSuccess(std::uint64_t Fingerprint);
+  void noteSighting(const state::crash_sighting &Sighting,
+                    state::time_point Now);
   void onTick(state::time_point Now);
   void onSignal(int Number);
   void awaitSignal();
