--- /dev/null
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -0,0 +1,752 @@
+#include "hyssopledge/coordination/fleet_agent.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace hyssopledge::coordination {
+
+using state::time_point;
+
+fleet_agent::fleet_agent(fleet_agent_options Options, fleet_agent_hooks Hooks,
+                         const operator_dialect &Dialect,
+                         platform_store &Platform, peer_channel &Peers,
+                         state::timer_service &Timers, fleet_agent_pace Pace)
+    : Options(std::move(Options)), Hooks(std::move(Hooks)), Dialect(Dialect),
+      Platform(Platform), Peers(Peers), Timers(Timers), Pace(Pace),
+      Random(this->Options.Seed), Alive(std::make_shared<bool>(true)) {
+  Self.Instance = this->Options.Instance;
+  Self.Incarnation = this->Options.Incarnation;
+  Self.Revision = 1;
+  Self.DataCentre = this->Options.DataCentre;
+  Self.CallAddress = this->Options.CallAddress;
+  Self.ControlAddress = this->Options.ControlAddress;
+}
+
+fleet_agent::~fleet_agent() { *Alive = false; }
+
+void fleet_agent::start() {
+  StartedAt = Timers.now();
+  Directory.merge(Self);
+  registerSelf();
+  readInput();
+  Tick = Timers.every(Pace.Tick, [this](time_point Now) { tick(Now); });
+}
+
+void fleet_agent::log(std::string_view Event, const std::string &Fields) const {
+  if (Hooks.Log)
+    Hooks.Log(Event, Fields);
+}
+
+//-----------------------------------------------------------------------------
+// Membership
+//-----------------------------------------------------------------------------
+
+peer_message fleet_agent::message(peer_message_kind Kind) const {
+  peer_message Message;
+  Message.Kind = Kind;
+  Message.From = Options.Instance;
+  Message.ControlAddress = Options.ControlAddress;
+  return Message;
+}
+
+void fleet_agent::sendTo(const std::string &ControlAddress,
+                         const peer_message &Message) {
+  Peers.send(ControlAddress, encodePeerMessage(Message));
+}
+
+void fleet_agent::broadcast(const peer_message &Message) {
+  const std::string Datagram = encodePeerMessage(Message);
+  for (const auto &[Name, Member] : Directory.members())
+    if (Name != Options.Instance && !Member.Left)
+      Peers.send(Member.ControlAddress, Datagram);
+}
+
+void fleet_agent::announceSelf() {
+  ++Self.Revision;
+  Directory.merge(Self);
+  peer_message Message = message(peer_message_kind::Records);
+  Message.Members.push_back(Self);
+  broadcast(Message);
+  if (Hooks.OnDirectory)
+    Hooks.OnDirectory();
+}
+
+void fleet_agent::setUpstream(const upstream_record &Upstream) {
+  Self.Upstream = Upstream;
+  announceSelf();
+  // A restarted daemon may find no peer that heard of the change.
+  if (Upstream.State != upstream_state::Serving && Registered)
+    registerSelf();
+}
+
+void fleet_agent::leave(bool ForGood) {
+  Leaving = true;
+  Self.Left = ForGood;
+  Self.Upstream.Answering = false;
+  announceSelf();
+  if (ForGood && Lease != 0)
+    Platform.revokeLease(Lease, [](state::result<bool>) {});
+  stopFollowing();
+}
+
+void fleet_agent::sendRecords(const std::string &ControlAddress) {
+  peer_message All = message(peer_message_kind::Records);
+  for (const auto &[Name, Member] : Directory.members())
+    All.Members.push_back(Member);
+  for (const auto &[Name, Rollout] : Directory.rollouts())
+    All.Rollouts.push_back(Rollout);
+  for (const peer_message &Part : splitRecords(All))
+    sendTo(ControlAddress, Part);
+}
+
+void fleet_agent::mergeMembers(const std::vector<member_record> &Records) {
+  bool Changed = false;
+  for (const member_record &Record : Records) {
+    if (Record.Instance == Options.Instance) {
+      if (!FormerUpstream && Record.Incarnation != Self.Incarnation)
+        FormerUpstream = Record.Upstream;
+      // The time of day went back, or another process has this name: the
+      // others would ignore this daemon's records.
+      if (Record.Incarnation > Self.Incarnation) {
+        Self.Incarnation = Record.Incarnation + 1;
+        announceSelf();
+      }
+      continue;
+    }
+    if (Directory.merge(Record))
+      Changed = true;
+  }
+  if (Changed && Hooks.OnDirectory)
+    Hooks.OnDirectory();
+}
+
+void fleet_agent::registerSelf() {
+  NextRegister = Timers.now() + std::chrono::seconds(2);
+  const auto Put = [this, Alive = Alive](std::int64_t Granted) {
+    platform_txn Txn;
+    Txn.Puts.push_back({Dialect.membersPrefix() + Options.Instance,
+                        encodeMember(Self), Granted});
+    Platform.commit(
+        std::move(Txn),
+        [this, Alive](const state::result<platform_txn_result> &Result) {
+          if (!*Alive)
+            return;
+          if (Result.has_error()) {
+            // The lease may have ended.
+            if (Result.error().is(state::errc::NotFound))
+              Lease = 0;
+            log("register_failed", "reason=\"" + Result.error().text() + "\"");
+            return;
+          }
+          Registered = true;
+          NextRegister = Timers.now() + Pace.MemberRenewal;
+          if (!MembersRead)
+            readMembers();
+        });
+  };
+  if (Lease != 0)
+    return Put(Lease);
+  Platform.grantLease(
+      Pace.MemberLease,
+      [this, Alive = Alive, Put](const state::result<std::int64_t> &Granted) {
+        if (!*Alive)
+          return;
+        if (Granted.has_error()) {
+          log("register_failed", "reason=\"" + Granted.error().text() + "\"");
+          return;
+        }
+        Lease = Granted.value();
+        Put(Lease);
+      });
+}
+
+void fleet_agent::renewRegistration() {
+  NextRegister = Timers.now() + std::chrono::seconds(5);
+  Platform.keepAlive(
+      Lease, [this, Alive = Alive](
+                 const state::result<std::chrono::seconds> &Result) {
+        if (!*Alive)
+          return;
+        if (!Result.has_error()) {
+          NextRegister = Timers.now() + Pace.MemberRenewal;
+          return;
+        }
+        if (Result.error().is(state::errc::NotFound)) {
+          Lease = 0;
+          Registered = false;
+          NextRegister = {};
+        }
+      });
+}
+
+void fleet_agent::readMembers() {
+  NextMembers = Timers.now() + std::chrono::seconds(2);
+  Platform.get(
+      Dialect.membersPrefix(), true,
+      [this, Alive = Alive](const state::result<platform_read> &Read) {
+        if (!*Alive || Read.has_error())
+          return;
+        MembersRead = true;
+        std::vector<member_record> Records;
+        for (const platform_entry &Entry : Read.value().Entries) {
+          auto Record = decodeMember(Entry.Value);
+          if (Record.has_error())
+            log("member_ignored", "key=" + Entry.Key + " reason=\"" +
+                                      Record.error().text() + "\"");
+          else
+            Records.push_back(std::move(Record.value()));
+        }
+        log("members_read", "count=" + std::to_string(Records.size()) +
+                                " revision=" +
+                                std::to_string(Read.value().Revision));
+        mergeMembers(Records);
+        // The others may have read the members before this daemon was there.
+        announceSelf();
+      });
+}
+
+void fleet_agent::reportCrash(
+    const std::vector<state::crash_sighting> &Sightings) {
+  peer_message Message = message(peer_message_kind::Crash);
+  Message.Sightings = Sightings;
+  broadcast(Message);
+  // A lost datagram would leave the request unknown at its receiver.
+  broadcast(Message);
+}
+
+void fleet_agent::ping(const std::string &Instance) {
+  if (const member_record *Member = Directory.find(Instance))
+    sendTo(Member->ControlAddress, message(peer_message_kind::Ping));
+}
+
+void fleet_agent::onDatagram(std::string_view Datagram) {
+  auto Decoded = decodePeerMessage(Datagram);
+  if (Decoded.has_error()) {
+    log("datagram_ignored", "reason=\"" + Decoded.error().text() + "\"");
+    return;
+  }
+  const peer_message &Message = Decoded.value();
+  if (Message.From == Options.Instance)
+    return;
+  const time_point Now = Timers.now();
+  if (Hooks.OnSignOfLife)
+    Hooks.OnSignOfLife(Message.From);
+  switch (Message.Kind) {
+  case peer_message_kind::Beacon:
+    return onBeacon(Message, Now);
+  case peer_message_kind::Records: {
+    mergeMembers(Message.Members);
+    bool Changed = false;
+    for (const rollout_record &Record : Message.Rollouts)
+      Changed = Directory.merge(Record) || Changed;
+    if (Changed && Hooks.OnDirectory)
+      Hooks.OnDirectory();
+    return;
+  }
+  case peer_message_kind::Sync:
+    return sendRecords(Message.ControlAddress);
+  case peer_message_kind::Ping:
+    return sendTo(Message.ControlAddress, message(peer_message_kind::Pong));
+  case peer_message_kind::Pong:
+    return;
+  case peer_message_kind::Evidence:
+    Evidence[Message.From] = {Message.Version, Message.Order, Message.Counts};
+    return;
+  case peer_message_kind::Crash:
+    if (Hooks.OnCrash)
+      Hooks.OnCrash(Message.Sightings);
+    return;
+  }
+}
+
+//-----------------------------------------------------------------------------
+// Relays
+//-----------------------------------------------------------------------------
+
+/// Whether a daemon of this data centre that goes before this one is a relay.
+bool fleet_agent::relayHeard(time_point Now, bool ReachingPlatform) const {
+  for (const auto &[Name, Beacon] : Beacons) {
+    if (Name >= Options.Instance)
+      break;
+    if (Beacon.DataCentre == Options.DataCentre &&
+        Now - Beacon.At < Pace.RelaySilence &&
+        (!ReachingPlatform || Beacon.PlatformReached))
+      return true;
+  }
+  return false;
+}
+
+bool fleet_agent::coordinating(time_point Now) const {
+  if (!Relay || !PlatformReached)
+    return false;
+  for (const auto &[Name, Beacon] : Beacons) {
+    if (Name >= Options.Instance)
+      break;
+    if (Now - Beacon.At < Pace.RelaySilence && Beacon.PlatformReached)
+      return false;
+  }
+  return true;
+}
+
+void fleet_agent::tick(time_point Now) {
+  if (Leaving)
+    return;
+  // A daemon with a lower name that has just started is heard within this time.
+  bool Waits = false;
+  for (const auto &[Name, Member] : Directory.members()) {
+    if (Name >= Options.Instance)
+      break;
+    Waits = Waits || (Member.DataCentre == Options.DataCentre && !Member.Left);
+  }
+  const bool Settled =
+      (MembersRead && !Waits) || Now - StartedAt >= Pace.RelaySilence;
+  const bool WasRelay = Relay;
+  const bool MustFollow = Settled && !relayHeard(Now, true);
+  Relay = Settled && (MustFollow || !relayHeard(Now, false));
+  if (Relay != WasRelay)
+    log(Relay ? "relay_begins" : "relay_ends",
+        "data_centre=" + Options.DataCentre);
+  if (MustFollow && !Following && Now >= NextFollow)
+    follow();
+  else if (!MustFollow && Following)
+    stopFollowing();
+  if (!Document && !ReadingInput && Now >= NextFollow)
+    readInput();
+  if (!Registered && Now >= NextRegister)
+    registerSelf();
+  else if (Registered && Now >= NextRegister)
+    renewRegistration();
+  if (Registered && !MembersRead && Now >= NextMembers)
+    readMembers();
+  if (Relay)
+    sendBeacons(Now, false);
+  fetchNewer(Now);
+  sendEvidence(Now);
+  if (coordinating(Now))
+    steerRollouts(Now);
+}
+
+void fleet_agent::sendBeacons(time_point Now, bool Always) {
+  const bool Near = Always || Now - LastNear >= Pace.BeaconNear;
+  const bool Far = Now - LastFar >= Pace.BeaconFar;
+  if (!Near && !Far)
+    return;
+  if (Near)
+    LastNear = Now;
+  if (Far)
+    LastFar = Now;
+  peer_message Message = message(peer_message_kind::Beacon);
+  Message.DataCentre = Options.DataCentre;
+  Message.PlatformReached = PlatformReached;
+  Message.DocumentVersion = Document ? Document->version() : 0;
+  Message.Digest = Directory.digest();
+  const std::string Datagram = encodePeerMessage(Message);
+  for (const auto &[Name, Member] : Directory.members()) {
+    if (Name == Options.Instance || Member.Left)
+      continue;
+    if (Member.DataCentre == Options.DataCentre ? Near : Far)
+      Peers.send(Member.ControlAddress, Datagram);
+  }
+}
+
+void fleet_agent::onBeacon(const peer_message &Message, time_point Now) {
+  beacon &Beacon = Beacons[Message.From];
+  // A change on its way makes digests differ for a moment; only a difference
+  // that stays is repaired.
+  const bool Differs = Message.Digest != Directory.digest();
+  const bool Unknown = Directory.find(Message.From) == nullptr;
+  if (Differs && (Unknown || (Beacon.Differed && Beacon.Digest == Message.Digest))) {
+    sendTo(Message.ControlAddress, message(peer_message_kind::Sync));
+    sendRecords(Message.ControlAddress);
+    Beacon.Differed = false;
+  } else {
+    Beacon.Differed = Differs;
+  }
+  Beacon.At = Now;
+  Beacon.DataCentre = Message.DataCentre;
+  Beacon.PlatformReached = Message.PlatformReached;
+  Beacon.DocumentVersion = Message.DocumentVersion;
+  Beacon.Digest = Message.Digest;
+  fetchNewer(Now);
+}
+
+//-----------------------------------------------------------------------------
+// Document
+//-----------------------------------------------------------------------------
+
+void fleet_agent::follow() {
+  Following = true;
+  readInput();
+}
+
+void fleet_agent::stopFollowing() {
+  Following = false;
+  PlatformReached = false;
+  ++FollowEpoch;
+  Watch.reset();
+}
+
+void fleet_agent::followFailed(const std::string &Why) {
+  if (PlatformReached)
+    log("platform_lost", "reason=\"" + Why + "\"");
+  stopFollowing();
+  NextFollow = Timers.now() + Pace.RetryPause;
+}
+
+/// Reads all that operators wrote, then watches when this daemon follows.
+void fleet_agent::readInput() {
+  ReadingInput = true;
+  const std::uint64_t Epoch = ++FollowEpoch;
+  Platform.get(
+      Dialect.inputPrefix(), true,
+      [this, Alive = Alive, Epoch](const state::result<platform_read> &Read) {
+        if (!*Alive)
+          return;
+        ReadingInput = false;
+        if (Read.has_error()) {
+          if (Epoch == FollowEpoch)
+            followFailed(Read.error().text());
+          return;
+        }
+        NextFollow = Timers.now() + Pace.RetryPause;
+        for (const platform_entry &Entry : Read.value().Entries)
+          onInput(Entry);
+        if (!Following || Epoch != FollowEpoch)
+          return;
+        if (!PlatformReached)
+          log("platform_reached",
+              "revision=" + std::to_string(Read.value().Revision));
+        PlatformReached = true;
+        readStatuses();
+        watchInput(Read.value().Revision);
+      });
+}
+
+void fleet_agent::watchInput(std::int64_t After) {
+  const std::uint64_t Epoch = FollowEpoch;
+  Watch = Platform.watch(
+      Dialect.inputPrefix(), true, After + 1,
+      [this, Alive = Alive,
+       Epoch](const state::result<std::vector<platform_event>> &Events) {
+        if (!*Alive || Epoch != FollowEpoch || !Following)
+          return;
+        if (Events.has_error())
+          return followFailed(Events.error().text());
+        for (const platform_event &Event : Events.value())
+          if (!Event.Deleted)
+            onInput(Event.Entry);
+      });
+}
+
+void fleet_agent::onInput(const platform_entry &Entry) {
+  if (Entry.Key == Dialect.documentKey()) {
+    if (applyDocument(Entry.Value, "platform") && Relay)
+      sendBeacons(Timers.now(), true);
+  } else if (Dialect.isOrderKey(Entry.Key)) {
+    onOrder(Entry);
+  }
+}
+
+bool fleet_agent::applyDocument(const std::string &Text, const char *Source) {
+  auto Read = Dialect.readDocument(Text);
+  if (Read.has_error()) {
+    log("document_refused", std::string("source=") + Source + " reason=\"" +
+                                Read.error().text() + "\"");
+    return false;
+  }
+  const auto &Table = Read.value();
+  if (Document && Table->version() <= Document->version())
+    return false;
+  log("document_in_force",
+      "version=" + std::to_string(Table->version()) + " former=" +
+          std::to_string(Document ? Document->version() : 0) + " source=" +
+          Source + " routes=" + std::to_string(Table->source().Routes.size()));
+  Document = Table;
+  DocumentText = Text;
+  if (Hooks.OnDocument)
+    Hooks.OnDocument(Document);
+  return true;
+}
+
+/// Fetches a newer document from the relay that told of it.
+void fleet_agent::fetchNewer(time_point Now) {
+  const std::uint64_t Own = Document ? Document->version() : 0;
+  const member_record *Source = nullptr;
+  std::uint64_t Newest = Own;
+  for (const auto &[Name, Beacon] : Beacons) {
+    const member_record *Member = Directory.find(Name);
+    const bool Near = Beacon.DataCentre == Options.DataCentre;
+    if (Member == nullptr || Now - Beacon.At > Pace.RelaySilence)
+      continue;
+    if (Beacon.DocumentVersion > Newest ||
+        (Near && Beacon.DocumentVersion == Newest && Newest > Own)) {
+      Newest = Beacon.DocumentVersion;
+      Source = Member;
+    }
+  }
+  if (Source == nullptr) {
+    BehindSince = {};
+    return;
+  }
+  if (BehindSince == time_point{})
+    BehindSince = Now;
+  if (Now - BehindSince > Pace.FetchPatience && !ReadingInput &&
+      Now >= NextFollow && !Following) {
+    NextFollow = Now + Pace.RetryPause;
+    readInput();
+  }
+  if (Fetching && Now - FetchingSince < Pace.FetchPatience)
+    return;
+  Fetching = true;
+  FetchingSince = Now;
+  Peers.fetchDocument(
+      Source->CallAddress,
+      [this, Alive = Alive](const state::result<std::string> &Text) {
+        if (!*Alive)
+          return;
+        Fetching = false;
+        if (Text.has_error()) {
+          log("document_fetch_failed",
+              "reason=\"" + Text.error().text() + "\"");
+          return;
+        }
+        if (applyDocument(Text.value(), "peer"))
+          BehindSince = {};
+      });
+}
+
+//-----------------------------------------------------------------------------
+// Rollouts
+//-----------------------------------------------------------------------------
+
+void fleet_agent::onOrder(const platform_entry &Entry) {
+  auto Order = Dialect.readOrder(Entry.Value);
+  if (Order.has_error()) {
+    log("order_refused", "key=" + Entry.Key + " reason=\"" +
+                             Order.error().text() + "\"");
+    return;
+  }
+  const auto Revision = static_cast<std::uint64_t>(Entry.ModRevision);
+  followed_order &Followed = Orders[Order.value().Service];
+  if (Followed.Revision >= Revision)
+    return;
+  const std::uint64_t StatusRevision = Followed.StatusRevision;
+  Followed = {};
+  Followed.Order = Order.value();
+  Followed.Revision = Revision;
+  Followed.SeenAt = Followed.SteppedAt = Timers.now();
+  Followed.StatusRevision = StatusRevision;
+  log("order_seen", "service=" + Followed.Order.Service +
+                        " to_version=" + Followed.Order.ToVersion +
+                        " revision=" + std::to_string(Revision));
+}
+
+/// The states that were written for finished rollouts, for daemons that start
+/// without a peer that knows them.
+void fleet_agent::readStatuses() {
+  Platform.get(
+      Dialect.statusPrefix(), true,
+      [this, Alive = Alive](const state::result<platform_read> &Read) {
+        if (!*Alive)
+          return;
+        if (Read.has_error()) {
+          log("status_read_failed", "reason=\"" + Read.error().text() + "\"");
+          return;
+        }
+        StatusesRead = true;
+        bool Changed = false;
+        for (const platform_entry &Entry : Read.value().Entries) {
+          auto Status = Dialect.readStatus(Entry.Key, Entry.Value);
+          if (Status.has_error()) {
+            log("status_ignored", "key=" + Entry.Key + " reason=\"" +
+                                      Status.error().text() + "\"");
+            continue;
+          }
+          rollout_record &Record = Status.value();
+          StatusRevisions[Record.Service] =
+              static_cast<std::uint64_t>(Entry.ModRevision);
+          const auto Followed = Orders.find(Record.Service);
+          if (Followed == Orders.end() ||
+              Followed->second.Order.ToVersion != Record.ToVersion ||
+              static_cast<std::uint64_t>(Entry.ModRevision) <
+                  Followed->second.Revision)
+            continue;
+          Followed->second.Written = Record.State;
+          if (Record.State == rollout_state::Running)
+            continue;
+          Record.Order = Followed->second.Revision;
+          Record.ShareBp =
+              Record.State == rollout_state::Completed ? 10'000 : 0;
+          Changed = Directory.merge(Record) || Changed;
+        }
+        if (Changed && Hooks.OnDirectory)
+          Hooks.OnDirectory();
+      });
+}
+
+void fleet_agent::steerRollouts(time_point Now) {
+  if (!StatusesRead)
+    return;
+  for (auto &[Service, Followed] : Orders)
+    steer(Followed, Now);
+}
+
+void fleet_agent::steer(followed_order &Followed, time_point Now) {
+  const std::string &Service = Followed.Order.Service;
+  const rollout_record *Known = Directory.rollout(Service);
+  rollout_record Record;
+  if (Known != nullptr && Known->Order == Followed.Revision) {
+    Record = *Known;
+  } else {
+    Record.Service = Service;
+    Record.ToVersion = Followed.Order.ToVersion;
+    Record.Order = Followed.Revision;
+    decide(Followed, Record, "ordered", "");
+  }
+  if (Record.State == rollout_state::Running) {
+    std::uint32_t NewSlots = 0;
+    std::uint32_t OldSlots = 0;
+    bool Cold = false;
+    for (const auto &[Name, Member] : Directory.members()) {
+      const upstream_record &Upstream = Member.Upstream;
+      if (Member.Left || Upstream.Service != Service ||
+          Upstream.State != upstream_state::Serving || !Upstream.Answering)
+        continue;
+      const bool New = Upstream.Version == Record.ToVersion;
+      (New ? NewSlots : OldSlots) += Upstream.Slots;
+      Cold = Cold || (New && Upstream.Cold);
+    }
+    route_counts New;
+    route_counts Old;
+    if (Hooks.Evidence && Self.Upstream.Service == Service)
+      Evidence[Options.Instance] = {Self.Upstream.Version, Record.Order,
+                                    Hooks.Evidence()};
+    for (const auto &[Name, Row] : Evidence) {
+      if (Row.Order != Record.Order)
+        continue;
+      for (const auto &[Route, Count] : Row.Counts) {
+        run_count &Sum = (Row.Version == Record.ToVersion ? New : Old)[Route];
+        Sum.Runs += Count.Runs;
+        Sum.Failures += Count.Failures;
+        Sum.TotalMs += Count.TotalMs;
+      }
+    }
+    const pilot_input Input{
+        std::chrono::duration_cast<std::chrono::milliseconds>(Now -
+                                                              Followed.SeenAt),
+        Followed.Order.Duration,
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            Now - Followed.SteppedAt),
+        Record.ShareBp,
+        NewSlots,
+        OldSlots,
+        Cold,
+        New,
+        Old};
+    const pilot_decision Decision = decideShare(Input);
+    if (Decision.State != Record.State || Decision.ShareBp != Record.ShareBp) {
+      std::ostringstream Seen;
+      const auto Print = [&](const char *Name, const route_counts &Counts) {
+        Seen << ' ' << Name << '=';
+        for (const auto &[Route, Count] : Counts)
+          Seen << Route << ':' << Count.Runs << '/' << Count.Failures << '/'
+               << (Count.Runs == 0 ? 0 : Count.TotalMs / Count.Runs) << "ms,";
+      };
+      Seen << " new_slots=" << NewSlots << " old_slots=" << OldSlots;
+      Print("new", New);
+      Print("old", Old);
+      Record.State = Decision.State;
+      Record.ShareBp = Decision.ShareBp;
+      decide(Followed, Record, Decision.Rule, Seen.str());
+    }
+  }
+  if (const rollout_record *Latest = Directory.rollout(Service))
+    writeStatus(Followed, *Latest, Now);
+}
+
+void fleet_agent::decide(followed_order &Followed, rollout_record Record,
+                         const std::string &Rule, const std::string &Seen) {
+  ++Record.Step;
+  Followed.SteppedAt = Timers.now();
+  Directory.merge(Record);
+  log("rollout_decision",
+      "service=" + Record.Service + " to_version=" + Record.ToVersion +
+          " state=" + std::to_string(static_cast<int>(Record.State)) +
+          " share_bp=" + std::to_string(Record.ShareBp) + " step=" +
+          std::to_string(Record.Step) + " rule=\"" + Rule + "\"" + Seen);
+  peer_message Message = message(peer_message_kind::Records);
+  Message.Rollouts.push_back(Record);
+  broadcast(Message);
+  // The others act on the share at once; the beacons repair what is lost, but
+  // a rollback should not wait for them.
+  if (Record.State != rollout_state::Running)
+    broadcast(Message);
+  if (Hooks.OnDirectory)
+    Hooks.OnDirectory();
+}
+
+void fleet_agent::writeStatus(followed_order &Followed,
+                              const rollout_record &Record, time_point Now) {
+  if (Followed.Written == Record.State || Followed.WritingStatus ||
+      Now < Followed.NextWrite)
+    return;
+  Followed.WritingStatus = true;
+  Followed.NextWrite = Now + Pace.RetryPause;
+  const std::string Service = Record.Service;
+  platform_txn Txn;
+  const std::string Key = Dialect.statusKey(Service);
+  Txn.Conditions.push_back(
+      {Key, static_cast<std::int64_t>(StatusRevisions[Service])});
+  Txn.Puts.push_back({Key, Dialect.writeStatus(Record), 0});
+  Platform.commit(
+      std::move(Txn),
+      [this, Alive = Alive, Service, State = Record.State,
+       Order = Record.Order](const state::result<platform_txn_result> &Result) {
+        if (!*Alive)
+          return;
+        const auto Found = Orders.find(Service);
+        if (Found == Orders.end() || Found->second.Revision != Order)
+          return;
+        Found->second.WritingStatus = false;
+        if (Result.has_error()) {
+          // The write may have been done: what is there is read again.
+          log("status_write_failed", "service=" + Service + " reason=\"" +
+                                         Result.error().text() + "\"");
+          return readStatuses();
+        }
+        if (!Result.value().Succeeded) {
+          log("status_write_lost", "service=" + Service);
+          return readStatuses();
+        }
+        StatusRevisions[Service] =
+            static_cast<std::uint64_t>(Result.value().Revision);
+        Found->second.Written = State;
+        log("status_written", "service=" + Service + " state=" +
+                                  std::to_string(static_cast<int>(State)));
+      });
+}
+
+void fleet_agent::sendEvidence(time_point Now) {
+  if (!Hooks.Evidence || Now - LastEvidence < Pace.Evidence)
+    return;
+  const rollout_record *Rollout = Directory.rollout(Self.Upstream.Service);
+  if (Rollout == nullptr || Rollout->State != rollout_state::Running)
+    return;
+  LastEvidence = Now;
+  peer_message Message = message(peer_message_kind::Evidence);
+  Message.Service = Self.Upstream.Service;
+  Message.Version = Self.Upstream.Version;
+  Message.Order = Rollout->Order;
+  Message.Counts = Hooks.Evidence();
+  if (Message.Counts.empty())
+    return;
+  for (const auto &[Name, Beacon] : Beacons) {
+    const member_record *Member = Directory.find(Name);
+    if (Member != nullptr && Beacon.PlatformReached &&
+        Now - Beacon.At < Pace.RelaySilence)
+      sendTo(Member->ControlAddress, Message);
+  }
+}
+
+} // namespace hyssopledge::coordination
--- /dev/null
+++ b/hyssopledge/coordination/fleet_directory.cpp
@@ -0,0 +1,106 @@
+#include "hyssopledge/coordination/fleet_directory.h"
+
+#include <boost/crc.hpp>
+#include <tuple>
+
+namespace hyssopledge::coordination {
+
+namespace {
+
+constexpr std::uint32_t WholeShareBp = 10'000;
+
+/// Sums of these do not depend on the order of the records.
+std::uint64_t hashOf(const std::string &Name, std::uint64_t A, std::uint64_t B,
+                     std::uint64_t C) {
+  boost::crc_optimal<64, 0x42F0E1EBA9EA3693ULL, 0, 0, false, false> Crc;
+  Crc.process_bytes(Name.data(), Name.size());
+  Crc.process_bytes(&A, sizeof A);
+  Crc.process_bytes(&B, sizeof B);
+  Crc.process_bytes(&C, sizeof C);
+  return Crc.checksum();
+}
+
+std::uint64_t hashOf(const member_record &Record) {
+  return hashOf(Record.Instance, Record.Incarnation, Record.Revision, 0);
+}
+
+std::uint64_t hashOf(const rollout_record &Record) {
+  return hashOf(Record.Service, Record.Order, Record.Step,
+                static_cast<std::uint64_t>(Record.State) << 32 |
+                    Record.ShareBp);
+}
+
+} // namespace
+
+bool fleet_directory::merge(const member_record &Record) {
+  const auto Found = Members.find(Record.Instance);
+  if (Found != Members.end()) {
+    const member_record &Known = Found->second;
+    if (std::tie(Record.Incarnation, Record.Revision) <=
+        std::tie(Known.Incarnation, Known.Revision))
+      return false;
+    Digest -= hashOf(Known);
+  }
+  Digest += hashOf(Record);
+  Members.insert_or_assign(Record.Instance, Record);
+  return true;
+}
+
+bool fleet_directory::merge(const rollout_record &Record) {
+  const auto Found = Rollouts.find(Record.Service);
+  if (Found != Rollouts.end()) {
+    const rollout_record &Known = Found->second;
+    // Two coordinators may decide at the same step: a finished state goes
+    // first, then the smaller share, so that all daemons end with the same.
+    const auto Rank = [](const rollout_record &R) {
+      return std::make_tuple(R.Order, R.State != rollout_state::Running, R.Step,
+                             WholeShareBp - R.ShareBp);
+    };
+    if (Rank(Record) <= Rank(Known))
+      return false;
+    Digest -= hashOf(Known);
+  }
+  Digest += hashOf(Record);
+  Rollouts.insert_or_assign(Record.Service, Record);
+  return true;
+}
+
+const member_record *fleet_directory::find(const std::string &Instance) const {
+  const auto Found = Members.find(Instance);
+  return Found == Members.end() ? nullptr : &Found->second;
+}
+
+const rollout_record *
+fleet_directory::rollout(const std::string &Service) const {
+  const auto Found = Rollouts.find(Service);
+  return Found == Rollouts.end() ? nullptr : &Found->second;
+}
+
+std::size_t fleet_directory::size() const {
+  std::size_t Count = 0;
+  for (const auto &[Name, Record] : Members)
+    Count += Record.Left ? 0 : 1;
+  return Count;
+}
+
+version_rule versionRule(const rollout_record *Rollout) {
+  version_rule Rule;
+  if (Rollout == nullptr)
+    return Rule;
+  Rule.Service = Rollout->Service;
+  Rule.ToVersion = Rollout->ToVersion;
+  switch (Rollout->State) {
+  case rollout_state::Running:
+    Rule.ShareBp = Rollout->ShareBp;
+    break;
+  case rollout_state::Completed:
+    Rule.ShareBp = WholeShareBp;
+    break;
+  case rollout_state::RolledBack:
+    Rule.ShareBp = 0;
+    break;
+  }
+  return Rule;
+}
+
+} // namespace hyssopledge::coordination
--- /dev/null
+++ b/hyssopledge/coordination/operator_dialect.h
@@ -0,0 +1,47 @@
+/// \file
+/// How operators write documents and rollout orders on a platform, and read
+/// their state. Each platform has one implementation.
+#pragma once
+
+#include "hyssopledge/coordination/fleet_directory.h"
+#include "hyssopledge/state/result.h"
+#include "hyssopledge/state/route_table.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace hyssopledge::coordination {
+
+struct rollout_order {
+  std::string Service;
+  std::string ToVersion;
+  std::chrono::milliseconds Duration{}; // from the order to its deadline
+};
+
+class operator_dialect {
+public:
+  virtual ~operator_dialect() = default;
+
+  //--- Keys -------------------------------------------------------------------
+  virtual std::string inputPrefix() const = 0; // of all that operators write
+  virtual std::string documentKey() const = 0;
+  virtual bool isOrderKey(std::string_view Key) const = 0;
+  virtual std::string statusPrefix() const = 0;
+  virtual std::string statusKey(const std::string &Service) const = 0;
+  virtual std::string membersPrefix() const = 0; // records of daemons
+
+  //--- Values -----------------------------------------------------------------
+  /// InvalidDocument with the place and what would be right.
+  virtual state::result<std::shared_ptr<const state::route_table>>
+  readDocument(std::string_view Text) const = 0;
+  virtual state::result<rollout_order>
+  readOrder(std::string_view Text) const = 0;
+  virtual std::string writeStatus(const rollout_record &Record) const = 0;
+  /// Service, ToVersion and State; the other fields stay as they are.
+  virtual state::result<rollout_record>
+  readStatus(std::string_view Key, std::string_view Text) const = 0;
+};
+
+} // namespace hyssopledge::coordination
--- /dev/null
+++ b/hyssopledge/coordination/peer_message.cpp
@@ -0,0 +1,219 @@
+#include "hyssopledge/coordination/peer_message.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hyssopledge::coordination {
+
+using nlohmann::json;
+
+namespace {
+
+// Bytes of one encoded member or rollout, generous.
+constexpr std::size_t RecordBytes = 240;
+
+json toJson(const member_record &R) {
+  const upstream_record &U = R.Upstream;
+  return json::array({R.Instance, R.Incarnation, R.Revision, R.DataCentre,
+                      R.CallAddress, R.ControlAddress, R.Left, U.Name,
+                      U.Service, U.Version, U.Slots, static_cast<int>(U.State),
+                      U.Answering, U.Cold, U.Born, U.Sequence});
+}
+
+member_record memberFrom(const json &J) {
+  member_record R;
+  R.Instance = J.at(0).get<std::string>();
+  R.Incarnation = J.at(1).get<std::uint64_t>();
+  R.Revision = J.at(2).get<std::uint64_t>();
+  R.DataCentre = J.at(3).get<std::string>();
+  R.CallAddress = J.at(4).get<std::string>();
+  R.ControlAddress = J.at(5).get<std::string>();
+  R.Left = J.at(6).get<bool>();
+  upstream_record &U = R.Upstream;
+  U.Name = J.at(7).get<std::string>();
+  U.Service = J.at(8).get<std::string>();
+  U.Version = J.at(9).get<std::string>();
+  U.Slots = J.at(10).get<std::uint32_t>();
+  const int State = J.at(11).get<int>();
+  if (State < 0 || State > static_cast<int>(upstream_state::Gone))
+    throw std::out_of_range("state of an upstream");
+  U.State = static_cast<upstream_state>(State);
+  U.Answering = J.at(12).get<bool>();
+  U.Cold = J.at(13).get<bool>();
+  U.Born = J.at(14).get<std::uint64_t>();
+  U.Sequence = J.at(15).get<std::uint64_t>();
+  return R;
+}
+
+json toJson(const rollout_record &R) {
+  return json::array({R.Service, R.ToVersion, R.Order, R.Step,
+                      static_cast<int>(R.State), R.ShareBp});
+}
+
+rollout_record rolloutFrom(const json &J) {
+  rollout_record R;
+  R.Service = J.at(0).get<std::string>();
+  R.ToVersion = J.at(1).get<std::string>();
+  R.Order = J.at(2).get<std::uint64_t>();
+  R.Step = J.at(3).get<std::uint64_t>();
+  const int State = J.at(4).get<int>();
+  if (State < 0 || State > static_cast<int>(rollout_state::RolledBack))
+    throw std::out_of_range("state of a rollout");
+  R.State = static_cast<rollout_state>(State);
+  R.ShareBp = J.at(5).get<std::uint32_t>();
+  return R;
+}
+
+std::string pack(const json &J) {
+  std::string Out;
+  json::to_msgpack(J, Out);
+  return Out;
+}
+
+state::failure malformed(const std::string &What) {
+  return {state::errc::InvalidMessage, "message of a daemon: " + What};
+}
+
+} // namespace
+
+std::string encodePeerMessage(const peer_message &M) {
+  json J = json::array(
+      {static_cast<int>(M.Kind), M.From, M.ControlAddress});
+  switch (M.Kind) {
+  case peer_message_kind::Beacon:
+    J.push_back(M.DataCentre);
+    J.push_back(M.PlatformReached);
+    J.push_back(M.DocumentVersion);
+    J.push_back(M.Digest);
+    break;
+  case peer_message_kind::Records: {
+    json Members = json::array();
+    for (const member_record &Record : M.Members)
+      Members.push_back(toJson(Record));
+    json Rollouts = json::array();
+    for (const rollout_record &Record : M.Rollouts)
+      Rollouts.push_back(toJson(Record));
+    J.push_back(std::move(Members));
+    J.push_back(std::move(Rollouts));
+    break;
+  }
+  case peer_message_kind::Evidence: {
+    json Counts = json::array();
+    for (const auto &[Route, Count] : M.Counts)
+      Counts.push_back({Route, Count.Runs, Count.Failures, Count.TotalMs});
+    J.push_back(M.Service);
+    J.push_back(M.Version);
+    J.push_back(M.Order);
+    J.push_back(std::move(Counts));
+    break;
+  }
+  case peer_message_kind::Crash: {
+    json Sightings = json::array();
+    for (const state::crash_sighting &S : M.Sightings)
+      Sightings.push_back(
+          {S.Fingerprint, S.Instance, S.Incarnation, S.InFlight});
+    J.push_back(std::move(Sightings));
+    break;
+  }
+  case peer_message_kind::Sync:
+  case peer_message_kind::Ping:
+  case peer_message_kind::Pong:
+    break;
+  }
+  return pack(J);
+}
+
+state::result<peer_message> decodePeerMessage(std::string_view Datagram) {
+  const json J = json::from_msgpack(Datagram, true, false);
+  if (J.is_discarded() || !J.is_array())
+    return malformed("not a MessagePack array");
+  try {
+    peer_message M;
+    const int Kind = J.at(0).get<int>();
+    if (Kind < static_cast<int>(peer_message_kind::Beacon) ||
+        Kind > static_cast<int>(peer_message_kind::Crash))
+      return malformed("unknown kind " + std::to_string(Kind));
+    M.Kind = static_cast<peer_message_kind>(Kind);
+    M.From = J.at(1).get<std::string>();
+    M.ControlAddress = J.at(2).get<std::string>();
+    switch (M.Kind) {
+    case peer_message_kind::Beacon:
+      M.DataCentre = J.at(3).get<std::string>();
+      M.PlatformReached = J.at(4).get<bool>();
+      M.DocumentVersion = J.at(5).get<std::uint64_t>();
+      M.Digest = J.at(6).get<std::uint64_t>();
+      break;
+    case peer_message_kind::Records:
+      for (const json &Record : J.at(3))
+        M.Members.push_back(memberFrom(Record));
+      for (const json &Record : J.at(4))
+        M.Rollouts.push_back(rolloutFrom(Record));
+      break;
+    case peer_message_kind::Evidence:
+      M.Service = J.at(3).get<std::string>();
+      M.Version = J.at(4).get<std::string>();
+      M.Order = J.at(5).get<std::uint64_t>();
+      for (const json &Row : J.at(6))
+        M.Counts[Row.at(0).get<std::string>()] = {
+            Row.at(1).get<std::uint64_t>(), Row.at(2).get<std::uint64_t>(),
+            Row.at(3).get<std::uint64_t>()};
+      break;
+    case peer_message_kind::Crash:
+      for (const json &Row : J.at(3))
+        M.Sightings.push_back(
+            {Row.at(0).get<std::uint64_t>(), Row.at(1).get<std::string>(),
+             Row.at(2).get<std::uint64_t>(), Row.at(3).get<std::uint32_t>()});
+      break;
+    case peer_message_kind::Sync:
+    case peer_message_kind::Ping:
+    case peer_message_kind::Pong:
+      break;
+    }
+    return M;
+  } catch (const std::exception &Error) {
+    return malformed(Error.what());
+  }
+}
+
+std::vector<peer_message> splitRecords(const peer_message &Message) {
+  constexpr std::size_t PerMessage = MaxDatagramBytes / RecordBytes;
+  std::vector<peer_message> Out;
+  peer_message Empty = Message;
+  Empty.Kind = peer_message_kind::Records;
+  Empty.Members.clear();
+  Empty.Rollouts.clear();
+  peer_message Next = Empty;
+  const auto Flush = [&](bool Always) {
+    const std::size_t Count = Next.Members.size() + Next.Rollouts.size();
+    if (Count == 0 || (!Always && Count < PerMessage))
+      return;
+    Out.push_back(std::move(Next));
+    Next = Empty;
+  };
+  for (const member_record &Record : Message.Members) {
+    Next.Members.push_back(Record);
+    Flush(false);
+  }
+  for (const rollout_record &Record : Message.Rollouts) {
+    Next.Rollouts.push_back(Record);
+    Flush(false);
+  }
+  Flush(true);
+  return Out;
+}
+
+std::string encodeMember(const member_record &Record) {
+  return pack(toJson(Record));
+}
+
+state::result<member_record> decodeMember(std::string_view Text) {
+  const json J = json::from_msgpack(Text, true, false);
+  if (J.is_discarded())
+    return malformed("not MessagePack");
+  try {
+    return memberFrom(J);
+  } catch (const std::exception &Error) {
+    return malformed(Error.what());
+  }
+}
+
+} // namespace hyssopledge::coordination
--- /dev/null
+++ b/hyssopledge/coordination/rollout_pilot.cpp
@@ -0,0 +1,149 @@
+#include "hyssopledge/coordination/rollout_pilot.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace hyssopledge::coordination {
+
+namespace {
+
+//--- Ladder -------------------------------------------------------------------
+struct ladder_step {
+  double From;           // part of the duration
+  std::uint32_t ShareBp; // 1/10,000 of the calls
+};
+// The share that an unproven version may have for its whole time is 10 %; the
+// steps above it last only until the deadline, and each one proves the next.
+constexpr std::array<ladder_step, 7> Ladder = {{{0.0, 500},
+                                                {0.15, 800},
+                                                {0.38, 2000},
+                                                {0.46, 4000},
+                                                {0.54, 6500},
+                                                {0.62, 10000},
+                                                {1.0, 10000}}};
+// Old upstreams stop at once when the move is done, so all daemons must send
+// everything to the new version before.
+constexpr double CompleteFrom = 0.78; // of the duration
+constexpr std::chrono::milliseconds WholeShareTime{1500};
+// Runs without a fault before the share rises beyond the unproven part.
+constexpr std::uint64_t RunsToRise = 12;
+constexpr std::uint32_t UnprovenBp = 800;
+
+//--- Test ---------------------------------------------------------------------
+// A version is bad when its failures exceed what the old version's rate explains
+// by this many standard deviations, and by this much in absolute terms.
+constexpr double Deviations = 4;
+constexpr double LeastExcess = 0.1;
+constexpr double LeastRate = 0.01; // a failure rate that any version may have
+constexpr std::uint64_t LeastFailures = 4;
+// Run times are compared when both versions have this many runs.
+constexpr std::uint64_t RunsToCompare = 8;
+constexpr double SlowFactor = 2.5;
+constexpr double SlowFactorCold = 5; // just started upstreams are slower anyway
+
+double rate(const run_count &Count) {
+  return Count.Runs == 0 ? 0
+                         : static_cast<double>(Count.Failures) /
+                               static_cast<double>(Count.Runs);
+}
+
+double meanMs(const run_count &Count) {
+  const std::uint64_t Good = Count.Runs - std::min(Count.Failures, Count.Runs);
+  return Good == 0 ? 0
+                   : static_cast<double>(Count.TotalMs) /
+                         static_cast<double>(Good);
+}
+
+std::string faultOf(const run_count &New, const run_count &Old, bool NewCold) {
+  const double Expected = std::max(LeastRate, rate(Old));
+  const auto Runs = static_cast<double>(New.Runs);
+  const double Limit =
+      Runs * Expected + Deviations * std::sqrt(Runs * Expected * (1 - Expected));
+  if (New.Failures >= LeastFailures &&
+      static_cast<double>(New.Failures) > Limit &&
+      rate(New) > rate(Old) + LeastExcess)
+    return "failures";
+  if (New.Runs - New.Failures >= RunsToCompare &&
+      Old.Runs - Old.Failures >= RunsToCompare &&
+      meanMs(New) > meanMs(Old) * (NewCold ? SlowFactorCold : SlowFactor))
+    return "slow";
+  return {};
+}
+
+} // namespace
+
+std::string versionFault(const route_counts &New, const route_counts &Old,
+                         bool NewCold) {
+  static const run_count None;
+  run_count NewTotal;
+  run_count OldTotal;
+  for (const auto &[Route, Count] : Old) {
+    OldTotal.Runs += Count.Runs;
+    OldTotal.Failures += Count.Failures;
+  }
+  for (const auto &[Route, Count] : New) {
+    NewTotal.Runs += Count.Runs;
+    NewTotal.Failures += Count.Failures;
+    const auto Same = Old.find(Route);
+    std::string Fault =
+        faultOf(Count, Same == Old.end() ? None : Same->second, NewCold);
+    if (!Fault.empty())
+      return Fault + " on route " + Route;
+  }
+  // Failures that are spread over many routes.
+  NewTotal.TotalMs = 0;
+  std::string Fault = faultOf(NewTotal, OldTotal, NewCold);
+  return Fault.empty() ? Fault : Fault + " in total";
+}
+
+pilot_decision decideShare(const pilot_input &Input) {
+  pilot_decision Decision;
+  Decision.ShareBp = Input.ShareBp;
+  const std::string Fault = versionFault(Input.New, Input.Old, Input.NewCold);
+  if (!Fault.empty()) {
+    Decision.State = rollout_state::RolledBack;
+    Decision.ShareBp = 0;
+    Decision.Rule = Fault;
+    return Decision;
+  }
+  if (Input.NewSlots == 0) {
+    Decision.ShareBp = 0;
+    Decision.Rule = "no upstream of the new version serves";
+    return Decision;
+  }
+  const double Part =
+      Input.Duration.count() <= 0
+          ? 1
+          : static_cast<double>(Input.Elapsed.count()) /
+                static_cast<double>(Input.Duration.count());
+  std::uint32_t Share = 0;
+  for (const ladder_step &Step : Ladder)
+    if (Part >= Step.From)
+      Share = Step.ShareBp;
+  std::uint64_t Runs = 0;
+  for (const auto &[Route, Count] : Input.New)
+    Runs += Count.Runs;
+  Decision.Rule = "ladder";
+  if (Share > UnprovenBp && Runs < RunsToRise) {
+    Share = UnprovenBp;
+    Decision.Rule = "too few runs";
+  }
+  // Upstreams of the new version that are fewer than the old ones can't take
+  // everything while the old ones still serve.
+  if (Input.OldSlots > 0 && Share < 10000) {
+    const auto Room = static_cast<std::uint32_t>(
+        10000ULL * Input.NewSlots / (Input.NewSlots + Input.OldSlots));
+    if (Share > UnprovenBp && Share > Room * 3 / 2)
+      Share = std::max(UnprovenBp, Room * 3 / 2);
+  }
+  Decision.ShareBp = std::max(Share, Input.ShareBp == 0 ? 0 : Input.ShareBp);
+  if (Decision.ShareBp == 10000 && Input.ShareBp == 10000 &&
+      Input.SinceStep >= WholeShareTime && Part >= CompleteFrom) {
+    Decision.State = rollout_state::Completed;
+    Decision.Rule = "proven";
+  }
+  return Decision;
+}
+
+} // namespace hyssopledge::coordination
--- a/hyssopledge/state/document.h
+++ b/hyssopledge/state/document.h
@@ -43,14 +43,22 @@
   std::optional<rollout_spec>
       Rollout; // present while traffic is to move away from StableVersion
   service_limits Limits;
+  std::string HealthPath; // of its upstreams; empty: they have none
 };
 
 //-----------------------------------------------------------------------------
 // Routes
 //-----------------------------------------------------------------------------
 
+/// A part of a route's requests.
+struct traffic_share {
+  std::string Service;
+  double Weight = 0; // relative to the other parts
+};
+
 struct route_spec {
   std::string Name;                 // unique in the document
+  std::string Host;                 // empty: any
   std::string PathPrefix;           // longest matching prefix wins
   std::vector<std::string> Methods; // empty: all
   std::string Service;
@@ -58,6 +66,9 @@
   milliseconds Timeout{2000};
   std::uint32_t MaxAttempts =
       3; // attempts over the whole depth of the call, the first included
+  std::vector<traffic_share> Split; // when not empty, instead of Service
+  milliseconds Aim{0}; // an answer within it has its full value; 0: no aim
+  std::uint32_t Priority = 0; // 0: most urgent
 };
 
 //-----------------------------------------------------------------------------
@@ -70,11 +81,20 @@
   std::chrono::seconds Max{7200};   // cap of the duration
 };
 
+/// What a caller may send, and how long it may take.
+struct client_limits {
+  std::size_t HeaderBytes = 16 * 1024;
+  std::size_t BodyBytes = 8 * 1024 * 1024;
+  milliseconds HeaderTimeout{30000}; // from a request's first byte to its end
+  milliseconds IdleTimeout{75000};   // of a connection between requests
+};
+
 struct document {
   std::string Environment;
   std::vector<service_spec> Services;
   std::vector<route_spec> Routes;
   lease_spec Lease;
+  client_limits Limits;
 };
 
 } // namespace hyssopledge::state
--- /dev/null
+++ b/hyssopledge/state/placement.h
@@ -0,0 +1,102 @@
+/// \file
+/// Which target an entry daemon sends a request to. No I/O; not thread-safe.
+///
+/// Load patterns that it answers:
+/// - A shift of callers to one data centre: the own data centre is preferred
+///   only while its targets answer in time, then others take the rest.
+/// - One slow target: it is judged by the latency that this daemon saw.
+/// - One target that fails part of its requests: its failure rate counts as
+///   added latency, and above EjectRate it gets only trial requests.
+/// - Cold targets: a target without figures is tried at once; its own daemon
+///   refuses what it can't run.
+#pragma once
+
+#include "hyssopledge/state/clock.h"
+#include "hyssopledge/state/random.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace hyssopledge::state {
+
+/// What a target's daemon said of its load.
+struct load_report {
+  std::uint32_t Running = 0;
+  std::uint32_t Waiting = 0;
+  std::uint32_t Slots = 0;
+  milliseconds Wait{0}; // expected by an ordinary request
+};
+
+/// A target that may get the request.
+struct placement_candidate {
+  std::string Instance;
+  bool SameDataCentre = false;
+  bool Reachable = true; // its daemon has answered lately
+  std::uint32_t Slots = 0;
+};
+
+struct placement_query {
+  std::string Kind; // route
+  milliseconds Aim{0};
+  std::vector<std::string> Tried; // instances that refused or failed it
+  time_point Now{};
+};
+
+struct placement_choice {
+  std::string Instance;   // empty: no candidate is left
+  milliseconds Expected{0}; // latency
+  bool Busy = false;        // it was expected to miss the aim
+};
+
+enum class placement_outcome {
+  Answered, // a whole answer that is not a failure
+  Failed,   // the target failed it, or no whole answer came
+  Refused,  // not run; says nothing of the target's health
+};
+
+class placement {
+public:
+  /// Above this part of failures a target gets trial requests only.
+  static constexpr double EjectRate = 0.35;
+  static constexpr std::uint32_t LeastSamples = 6; // before an ejection
+  static constexpr milliseconds FirstEjection{1000};
+  static constexpr milliseconds LongestEjection{8000};
+
+  placement_choice choose(const std::vector<placement_candidate> &Candidates,
+                          const placement_query &Query, random_engine &Random);
+
+  void onSent(const std::string &Instance);
+  void onEnd(const std::string &Instance, const std::string &Kind,
+             placement_outcome Outcome, milliseconds Latency, time_point Now);
+  void onLoad(const std::string &Instance, const load_report &Load,
+              time_point Now);
+  /// Drops figures of targets that are not in the list.
+  void retain(const std::vector<std::string> &Instances);
+
+  /// Shortest expected wait among the candidates, for Retry-After.
+  milliseconds shortestWait(const std::vector<placement_candidate> &Candidates,
+                            time_point Now) const;
+
+private:
+  struct figures {
+    std::uint32_t InFlight = 0; // sent by this daemon, not ended
+    std::uint32_t SentSince = 0; // since the last report
+    load_report Load;
+    time_point LoadAt{};
+    double FailureRate = 0;
+    std::uint32_t Samples = 0;
+    milliseconds Ejection{0};
+    time_point EjectedUntil{};
+    std::unordered_map<std::string, double> LatencyMs; // by kind
+  };
+
+  double waitMs(const figures &Figures, std::uint32_t Slots,
+                time_point Now) const;
+
+  std::unordered_map<std::string, figures> Targets;
+  std::unordered_map<std::string, double> KindMs; // over all targets
+};
+
+} // namespace hyssopledge::state
--- /dev/null
+++ b/hyssopledge/state/route_table.cpp
@@ -0,0 +1,91 @@
+#include "hyssopledge/state/route_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hyssopledge::state {
+
+namespace {
+
+std::string lowerCase(std::string_view Text) {
+  std::string Lower(Text);
+  for (char &Character : Lower)
+    if (Character >= 'A' && Character <= 'Z')
+      Character = static_cast<char>(Character - 'A' + 'a');
+  return Lower;
+}
+
+failure invalid(const route_spec &Route, const std::string &What) {
+  return {errc::InvalidDocument, "route \"" + Route.Name + "\": " + What};
+}
+
+} // namespace
+
+result<std::shared_ptr<const route_table>>
+route_table::build(std::uint64_t Version, document Document) {
+  std::shared_ptr<route_table> Table(
+      new route_table(Version, std::move(Document)));
+  const auto &Routes = Table->Document.Routes;
+  for (std::size_t I = 0; I < Routes.size(); ++I) {
+    const route_spec &Route = Routes[I];
+    if (Route.PathPrefix.empty() || Route.PathPrefix.front() != '/' ||
+        Route.PathPrefix.back() != '/')
+      return invalid(Route, "prefix \"" + Route.PathPrefix +
+                                "\" must begin and end with a slash");
+    double Total = 0;
+    for (const traffic_share &Part : Route.Split) {
+      if (!std::isfinite(Part.Weight) || Part.Weight < 0)
+        return invalid(Route, "the weight of service \"" + Part.Service +
+                                  "\" must be a number from 0 on");
+      if (Table->service(Part.Service) == nullptr)
+        return invalid(Route, "unknown service \"" + Part.Service + "\"");
+      Total += Part.Weight;
+    }
+    if (!Route.Split.empty() && Total <= 0)
+      return invalid(Route, "the weights of its services add up to 0");
+    if (Route.Split.empty() && Table->service(Route.Service) == nullptr)
+      return invalid(Route, "unknown service \"" + Route.Service + "\"");
+    if (!Table->Hosts[lowerCase(Route.Host)]
+             .emplace(Route.PathPrefix, I)
+             .second)
+      return invalid(Route, "host and prefix belong to another route as well");
+  }
+  return std::shared_ptr<const route_table>(std::move(Table));
+}
+
+const service_spec *route_table::service(std::string_view Name) const {
+  const auto Found =
+      std::find_if(Document.Services.begin(), Document.Services.end(),
+                   [&](const service_spec &S) { return S.Name == Name; });
+  return Found == Document.Services.end() ? nullptr : &*Found;
+}
+
+const route_spec *route_table::matchIn(const prefix_map &Prefixes,
+                                       std::string_view Path) const {
+  Path = Path.substr(0, Path.find('?'));
+  while (!Path.empty()) {
+    const std::size_t Slash = Path.rfind('/');
+    if (Slash == std::string_view::npos)
+      return nullptr;
+    const auto Found = Prefixes.find(Path.substr(0, Slash + 1));
+    if (Found != Prefixes.end())
+      return &Document.Routes[Found->second];
+    Path = Path.substr(0, Slash);
+  }
+  return nullptr;
+}
+
+const route_spec *route_table::match(std::string_view Host,
+                                     std::string_view Path) const {
+  const std::size_t Colon = Host.rfind(':');
+  if (Colon != std::string_view::npos && Host.back() != ']')
+    Host = Host.substr(0, Colon);
+  const auto Named = Hosts.find(lowerCase(Host));
+  if (Named != Hosts.end())
+    if (const route_spec *Route = matchIn(Named->second, Path))
+      return Route;
+  const auto Any = Hosts.find(std::string_view());
+  return Any == Hosts.end() ? nullptr : matchIn(Any->second, Path);
+}
+
+} // namespace hyssopledge::state
--- /dev/null
+++ b/hyssopledge/state/route_table.h
@@ -0,0 +1,54 @@
+/// \file
+/// Finds the route of a request by host and path.
+#pragma once
+
+#include "hyssopledge/state/document.h"
+#include "hyssopledge/state/result.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace hyssopledge::state {
+
+/// One version of the document with an index of its routes. Immutable.
+class route_table {
+public:
+  /// InvalidDocument when a prefix does not begin and end with a slash, when a
+  /// route names a service that the document lacks, or when weights are not
+  /// usable.
+  static result<std::shared_ptr<const route_table>>
+  build(std::uint64_t Version, document Document);
+
+  std::uint64_t version() const { return Version; }
+  const document &source() const { return Document; }
+  /// The route of the host with the longest prefix that begins the path, or
+  /// null. Host may carry a port; Path may carry a query.
+  const route_spec *match(std::string_view Host, std::string_view Path) const;
+  const service_spec *service(std::string_view Name) const;
+
+private:
+  route_table(std::uint64_t Version, document Document)
+      : Version(Version), Document(std::move(Document)) {}
+
+  struct text_hash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view Text) const {
+      return std::hash<std::string_view>()(Text);
+    }
+  };
+  using prefix_map =
+      std::unordered_map<std::string, std::size_t, text_hash, std::equal_to<>>;
+
+  const route_spec *matchIn(const prefix_map &Prefixes,
+                            std::string_view Path) const;
+
+  std::uint64_t Version;
+  document Document;
+  std::unordered_map<std::string, prefix_map, text_hash, std::equal_to<>> Hosts;
+};
+
+} // namespace hyssopledge::state
--- /dev/null
+++ b/hyssopledge/state/slot_queue.h
@@ -0,0 +1,116 @@
+/// \file
+/// Which requests the upstream beside this daemon runs, which wait and which
+/// are refused. The daemon is the only way to its upstream, so it knows every
+/// slot. No I/O; not thread-safe.
+///
+/// Load patterns that it answers:
+/// - Burst: more requests arrive than slots become free. Requests that can
+///   still be answered within their aim run first, so that a queue does not
+///   make every answer late; late ones use what is left.
+/// - Overload that lasts: a request that can't be answered in its time is
+///   refused when it arrives, not when its deadline passes.
+/// - Chains of calls: a call of a running request goes before new requests,
+///   since its refusal would waste the run of its parent.
+/// - One slow upstream: its own run times, by kind of request, decide.
+#pragma once
+
+#include "hyssopledge/state/clock.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace hyssopledge::state {
+
+/// Mean run time by kind of request, the kind being the name of its route.
+class run_time_table {
+public:
+  void record(const std::string &Kind, milliseconds RunTime);
+  /// The mean, or Guess when no run of the kind has ended.
+  milliseconds mean(const std::string &Kind, milliseconds Guess) const;
+
+private:
+  std::unordered_map<std::string, double> MeanMs;
+};
+
+struct slot_request {
+  std::uint64_t Ticket = 0;
+  std::string Kind;
+  bool Nested = false;      // a call of a request that runs
+  bool MayBeLate = true;    // refuse it when it would miss its aim
+  std::uint32_t Priority = 0; // 0: most urgent
+  milliseconds Guess{50};   // run time while none is known
+  time_point AimAt{};       // full value until then
+  time_point Deadline{};
+};
+
+enum class slot_verdict { Run, Wait, Refused };
+
+struct slot_decision {
+  slot_verdict Verdict = slot_verdict::Refused;
+  milliseconds ExpectedWait{0};
+  const char *Reason = ""; // of a refusal: "late", "deadline" or "full"
+};
+
+/// A waiting request that runs now, or is refused.
+struct slot_release {
+  std::uint64_t Ticket = 0;
+  bool Run = false;
+};
+
+class slot_queue {
+public:
+  /// A late request is taken when what is ahead of it fits into this part of
+  /// its time: the rest covers requests that arrive later and go first.
+  static constexpr double LateFill = 0.5;
+  /// Bounds the memory and the time of one decision.
+  static constexpr std::size_t MaxWaiting = 512;
+
+  void setSlots(std::uint32_t Slots) { this->Slots = Slots; }
+  slot_decision enter(const slot_request &Request, time_point Now);
+  /// The request has ended; RunTime 0 is not counted.
+  std::vector<slot_release> leave(std::uint64_t Ticket, milliseconds RunTime,
+                                  time_point Now);
+  /// Refuses what can't be answered any more. Call from a timer.
+  std::vector<slot_release> expire(time_point Now);
+  /// A waiting request's caller went away; false when it does not wait.
+  bool cancel(std::uint64_t Ticket);
+
+  std::uint32_t slots() const { return Slots; }
+  std::uint32_t running() const {
+    return static_cast<std::uint32_t>(Running.size());
+  }
+  std::uint32_t waiting() const {
+    return static_cast<std::uint32_t>(Waiting.size());
+  }
+  /// Expected wait of an ordinary request that arrives now.
+  milliseconds expectedWait(time_point Now) const;
+  /// Mean run time over all kinds.
+  milliseconds meanRun() const;
+
+private:
+  struct run {
+    std::uint64_t Ticket;
+    std::string Kind;
+    time_point Started;
+    milliseconds Mean;
+  };
+
+  milliseconds mean(const slot_request &Request) const;
+  bool onTime(const slot_request &Request, time_point Now) const;
+  /// Lower goes first.
+  std::uint64_t rank(const slot_request &Request, time_point Now) const;
+  bool before(const slot_request &A, const slot_request &B,
+              time_point Now) const;
+  milliseconds waitFor(const slot_request &Request, time_point Now) const;
+  void start(const slot_request &Request, time_point Now);
+  void fill(time_point Now, std::vector<slot_release> &Out);
+
+  std::uint32_t Slots = 0;
+  std::vector<run> Running;
+  std::vector<slot_request> Waiting;
+  run_time_table RunTimes;
+};
+
+} // namespace hyssopledge::state
--- /dev/null
+++ b/hyssopledge/transport/hop.cpp
@@ -0,0 +1,113 @@
+#include "hyssopledge/transport/hop.h"
+
+#include <array>
+#include <charconv>
+#include <vector>
+
+namespace hyssopledge::transport {
+
+const char *const HopCallField = "x-hyssop-call";
+const char *const HopAnswerField = "x-hyssop-answer";
+
+namespace {
+
+constexpr char Separator = '|';
+constexpr std::array OutcomeWords = {"ran", "not-run", "unknown"};
+
+std::vector<std::string_view> split(std::string_view Text) {
+  std::vector<std::string_view> Parts;
+  while (true) {
+    const std::size_t At = Text.find(Separator);
+    Parts.push_back(Text.substr(0, At));
+    if (At == std::string_view::npos)
+      return Parts;
+    Text.remove_prefix(At + 1);
+  }
+}
+
+template <class T> bool readNumber(std::string_view Text, T &Value) {
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  return Error == std::errc() && End == Text.data() + Text.size();
+}
+
+} // namespace
+
+std::string formatHopCall(const hop_call &Call) {
+  std::string Text;
+  for (const std::string *Part :
+       {&Call.Upstream, &Call.Route, &Call.CallerService}) {
+    Text += *Part;
+    Text += Separator;
+  }
+  Text += std::to_string(Call.TimeLeft.count()) + Separator +
+          std::to_string(Call.AimLeft.count()) + Separator +
+          std::to_string(Call.Priority) + Separator;
+  if (Call.Nested)
+    Text += 'n';
+  if (Call.MayBeLate)
+    Text += 'l';
+  if (Call.Repeated)
+    Text += 'r';
+  return Text;
+}
+
+state::result<hop_call> parseHopCall(std::string_view Text) {
+  const auto Parts = split(Text);
+  hop_call Call;
+  std::int64_t TimeLeft = 0;
+  std::int64_t AimLeft = 0;
+  if (Parts.size() != 7 || !readNumber(Parts[3], TimeLeft) ||
+      !readNumber(Parts[4], AimLeft) || !readNumber(Parts[5], Call.Priority))
+    return state::failure(state::errc::InvalidMessage,
+                          std::string(HopCallField) +
+                              " must have 7 parts between '|'");
+  Call.Upstream = Parts[0];
+  Call.Route = Parts[1];
+  Call.CallerService = Parts[2];
+  Call.TimeLeft = state::milliseconds(TimeLeft);
+  Call.AimLeft = state::milliseconds(AimLeft);
+  Call.Nested = Parts[6].find('n') != std::string_view::npos;
+  Call.MayBeLate = Parts[6].find('l') != std::string_view::npos;
+  Call.Repeated = Parts[6].find('r') != std::string_view::npos;
+  return Call;
+}
+
+void writeHopAnswer(hop_answer &Answer) {
+  std::string Text = OutcomeWords[static_cast<std::size_t>(Answer.Outcome)];
+  Text += Separator + Answer.Reason + Separator + (Answer.Arrived ? "1" : "0");
+  if (Answer.Load) {
+    const state::load_report &Load = *Answer.Load;
+    Text += Separator + std::to_string(Load.Running) + Separator +
+            std::to_string(Load.Waiting) + Separator +
+            std::to_string(Load.Slots) + Separator +
+            std::to_string(Load.Wait.count());
+  }
+  Answer.Response.set(HopAnswerField, Text);
+}
+
+hop_answer readHopAnswer(http_response Response) {
+  hop_answer Answer;
+  const auto Parts = split(fieldValue(Response, HopAnswerField));
+  Answer.Reason = "no-outcome";
+  if (Parts.size() >= 3) {
+    for (std::size_t I = 0; I < OutcomeWords.size(); ++I)
+      if (Parts[0] == OutcomeWords[I])
+        Answer.Outcome = static_cast<hop_outcome>(I);
+    Answer.Reason = Parts[1];
+    Answer.Arrived = Parts[2] == "1";
+  }
+  state::load_report Load;
+  std::int64_t Wait = 0;
+  if (Parts.size() == 7 && readNumber(Parts[3], Load.Running) &&
+      readNumber(Parts[4], Load.Waiting) && readNumber(Parts[5], Load.Slots) &&
+      readNumber(Parts[6], Wait)) {
+    Load.Wait = state::milliseconds(Wait);
+    Answer.Load = Load;
+  }
+  Response.erase(HopAnswerField);
+  Answer.Response = std::move(Response);
+  return Answer;
+}
+
+} // namespace hyssopledge::transport
--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -7,7 +7,9 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <charconv>
 #include <deque>
+#include <netinet/tcp.h>
 #include <optional>
 #include <sys/socket.h>
 #include <unordered_map>
@@ -36,30 +38,88 @@
   tcp::socket Socket;
   beast::flat_buffer Buffer;
   state::time_point IdleSince{};
+  boot_clock::duration IdleLimit{}; // from IdleSince on
 };
 
+namespace {
+
+// Sent while the peer still holds the connection open, so that the request
+// does not cross its close.
+constexpr std::chrono::seconds IdleMargin{1};
+// Smaller requests are written whole before an answer is looked for.
+constexpr std::size_t SmallBodyBytes = 32 * 1024;
+
+/// How long the server keeps the connection when idle, by its Keep-Alive field.
+std::optional<std::chrono::seconds>
+keepAliveTimeout(const http_response &Response) {
+  const std::string_view Value = fieldValue(Response, "Keep-Alive");
+  constexpr std::string_view Name = "timeout=";
+  const std::size_t At = Value.find(Name);
+  if (At == std::string_view::npos)
+    return std::nullopt;
+  unsigned Seconds = 0;
+  const char *Begin = Value.data() + At + Name.size();
+  if (std::from_chars(Begin, Value.data() + Value.size(), Seconds).ec !=
+      std::errc())
+    return std::nullopt;
+  return std::chrono::seconds(Seconds);
+}
+
+/// Gives up a connection whose peer acknowledges nothing.
+void limitSilence(tcp::socket &Socket, std::chrono::seconds Limit) {
+  const int Handle = Socket.native_handle();
+  const int On = 1;
+  const int Probes = 2;
+  const int Seconds = std::max<int>(1, static_cast<int>(Limit.count()) - 1);
+  const auto Milliseconds = static_cast<unsigned>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Limit).count());
+  ::setsockopt(Handle, SOL_SOCKET, SO_KEEPALIVE, &On, sizeof On);
+  ::setsockopt(Handle, IPPROTO_TCP, TCP_KEEPIDLE, &Seconds, sizeof Seconds);
+  ::setsockopt(Handle, IPPROTO_TCP, TCP_KEEPINTVL, &On, sizeof On);
+  ::setsockopt(Handle, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof Probes);
+  ::setsockopt(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &Milliseconds,
+               sizeof Milliseconds);
+}
+
+} // namespace
+
 struct http_client_pool::core : std::enable_shared_from_this<core> {
   core(asio::io_context &Context, client_pool_options Options)
       : Context(Context), Options(Options), Sweep(Context) {}
 
-  std::unique_ptr<connection> take(const std::string &Address) {
+  std::unique_ptr<connection>
+  take(const std::string &Address,
+       std::optional<state::milliseconds> MaxIdle) {
     const auto Found = Idle.find(Address);
     if (Found == Idle.end())
       return nullptr;
     auto &Kept = Found->second;
-    const state::time_point Oldest = boot_clock::now() - Options.IdleTimeout;
+    const state::time_point Now = boot_clock::now();
     while (!Kept.empty()) {
       // The latest used is the least likely to be closed by the peer.
       std::unique_ptr<connection> Connection = std::move(Kept.back());
       Kept.pop_back();
-      if (Connection->IdleSince >= Oldest && Connection->usable())
+      const auto Idle = Now - Connection->IdleSince;
+      if (MaxIdle && Idle >= *MaxIdle) {
+        // The others have been idle for longer.
+        Kept.push_back(std::move(Connection));
+        return nullptr;
+      }
+      if (Idle < Connection->IdleLimit && Connection->usable())
         return Connection;
     }
     return nullptr;
   }
 
   void keep(const std::string &Address,
-            std::unique_ptr<connection> Connection) {
+            std::unique_ptr<connection> Connection,
+            std::optional<std::chrono::seconds> PeerLimit) {
+    Connection->IdleLimit = Options.IdleTimeout;
+    if (PeerLimit)
+      Connection->IdleLimit = std::min<boot_clock::duration>(
+          Options.IdleTimeout, *PeerLimit - IdleMargin);
+    if (Connection->IdleLimit <= boot_clock::duration::zero())
+      return;
     auto &Kept = Idle[Address];
     Connection->IdleSince = boot_clock::now();
     Kept.push_back(std::move(Connection));
@@ -103,10 +163,12 @@
       public std::enable_shared_from_this<exchange> {
 public:
   exchange(std::shared_ptr<core> Core, std::string Address,
-           http_request Request, state::time_point Deadline, handler Handler)
+           http_request Request, state::time_point Deadline, handler Handler,
+           send_options Options)
       : Core(std::move(Core)), Address(std::move(Address)),
         Request(std::move(Request)), Deadline(Deadline),
-        Handler(std::move(Handler)), Timer(this->Core->Context) {}
+        Handler(std::move(Handler)), Options(std::move(Options)),
+        Timer(this->Core->Context) {}
 
   void start() {
     const auto Endpoint = parseEndpoint(Address);
@@ -115,7 +177,7 @@
     const auto Left = Deadline - boot_clock::now();
     if (Left <= boot_clock::duration::zero())
       return finishLater(exchange_cause::Timeout, "the deadline has passed");
-    Connection = Core->take(Address);
+    Connection = Core->take(Address, Options.MaxIdle);
     if (Connection) {
       startTimer(Left);
       return write();
@@ -133,6 +195,10 @@
                                     Error.message());
           error_code Ignored;
           Self->Connection->Socket.set_option(tcp::no_delay(true), Ignored);
+          Self->Opened = true;
+          if (const auto Limit = Self->Core->Options.SilenceLimit;
+              Limit.count() > 0)
+            limitSilence(Self->Connection->Socket, Limit);
           Self->startTimer(Self->Deadline - boot_clock::now());
           Self->write();
         });
@@ -158,11 +224,16 @@
   void write() {
     // Until the write reports how much was written, an end counts as Unknown.
     Written = true;
+    const bool Long = Request.body().size() > SmallBodyBytes;
+    // The server may answer before it has read a long body.
+    if (Long)
+      read();
     http::async_write(Connection->Socket, Request,
-                      [Self = shared_from_this()](const error_code &Error,
-                                                  std::size_t Bytes) {
+                      [Self = shared_from_this(), Long](const error_code &Error,
+                                                        std::size_t Bytes) {
                         if (Self->Done)
                           return;
+                        Self->WriteEnded = true;
                         if (Error && Bytes == 0) {
                           Self->Written = false;
                           return Self->finish(exchange_cause::Cut,
@@ -173,7 +244,8 @@
                         // all of it, so an answer is looked for after a failed
                         // write as well.
                         Self->WriteFailed = Error.failed();
-                        Self->read();
+                        if (!Long)
+                          Self->read();
                       });
   }
 
@@ -202,18 +274,25 @@
     const unsigned Status = Parser->get().result_int();
     if (Status >= 100 && Status < 200 && Status != 101)
       return read(); // an interim answer
-    // An answer that ends with the connection can't be told from one that was
-    // cut short.
-    if (Parser->need_eof() && Request.method() != http::verb::head)
+    if (Options.Accept && !Options.Accept(Parser->get()))
+      return read();
+    // An answer that ends with the connection can't always be told from one
+    // that was cut short.
+    if (Parser->need_eof() && !Core->Options.AnswerMayEndWithClose &&
+        Request.method() != http::verb::head)
       return finish(exchange_cause::BadAnswer,
                     "answer of " + Address + " has no length");
-    const bool Reusable = Parser->keep_alive() && !WriteFailed &&
-                          Connection->Buffer.size() == 0 && Status != 101;
+    // A connection on which a part of the request is still due is not used
+    // again: other bytes would be read as that part.
+    const bool Reusable = Parser->keep_alive() && WriteEnded && !WriteFailed &&
+                          !Parser->need_eof() && Connection->Buffer.size() == 0 && Status != 101;
     exchange_result Result;
     Result.End = exchange_end::Whole;
+    Result.Connected = Opened;
     Result.Response = Parser->release();
     if (Reusable)
-      Core->keep(Address, std::move(Connection));
+      Core->keep(Address, std::move(Connection),
+                 keepAliveTimeout(Result.Response));
     complete(std::move(Result));
   }
 
@@ -221,6 +300,7 @@
     exchange_result Result;
     Result.End = Written ? exchange_end::Unknown : exchange_end::NotSent;
     Result.Cause = Cause;
+    Result.Connected = Opened;
     Result.Detail = std::move(Detail);
     complete(std::move(Result));
   }
@@ -254,10 +334,13 @@
   http_request Request;
   state::time_point Deadline;
   handler Handler;
+  send_options Options;
   asio::steady_timer Timer;
   std::unique_ptr<connection> Connection;
   std::optional<http::response_parser<http::string_body>> Parser;
+  bool Opened = false;
   bool Written = false;
+  bool WriteEnded = false;
   bool WriteFailed = false;
   bool Done = false;
 };
@@ -273,13 +356,19 @@
 
 std::shared_ptr<client_exchange>
 http_client_pool::send(const std::string &Address, http_request Request,
-                       state::time_point Deadline, handler Handler) {
-  auto Exchange = std::make_shared<exchange>(Core, Address, std::move(Request),
-                                             Deadline, std::move(Handler));
+                       state::time_point Deadline, handler Handler,
+                       send_options Options) {
+  auto Exchange = std::make_shared<exchange>(
+      Core, Address, std::move(Request), Deadline, std::move(Handler),
+      std::move(Options));
   Exchange->start();
   return Exchange;
 }
 
+void http_client_pool::closeIdle(const std::string &Address) {
+  Core->Idle.erase(Address);
+}
+
 std::size_t http_client_pool::idle() const {
   std::size_t Count = 0;
   for (const auto &[Address, Kept] : Core->Idle)
--- a/hyssopledge/transport/http_client_pool.h
+++ b/hyssopledge/transport/http_client_pool.h
@@ -17,6 +17,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace hyssopledge::transport {
@@ -28,6 +29,19 @@
   std::chrono::seconds IdleTimeout{20};
   state::milliseconds ConnectTimeout{1000};
   std::size_t MaxBodyBytes = transport::MaxBodyBytes; // of an answer
+  /// Accept an answer whose end is the orderly close of its connection.
+  bool AnswerMayEndWithClose = false;
+  /// Above 0: a connection whose peer acknowledges nothing is given up after
+  /// about this time, also while it waits for an answer.
+  std::chrono::seconds SilenceLimit{0};
+};
+
+struct send_options {
+  /// An answer for which this returns false belongs to another request: it is
+  /// thrown away and the next one is read. Empty: every answer is accepted.
+  std::function<bool(const http_response &)> Accept;
+  /// Kept connections are used only when they were idle for less than this.
+  std::optional<state::milliseconds> MaxIdle;
 };
 
 enum class exchange_end {
@@ -49,6 +63,7 @@
   exchange_end End = exchange_end::NotSent;
   exchange_cause Cause = exchange_cause::None;
   std::string Detail; // for people; empty with Whole
+  bool Connected = false; // a connection was opened for the request
   http_response Response;
 };
 
@@ -77,7 +92,9 @@
   std::shared_ptr<client_exchange> send(const std::string &Address,
                                         http_request Request,
                                         state::time_point Deadline,
-                                        handler Handler);
+                                        handler Handler,
+                                        send_options Options = {});
+  void closeIdle(const std::string &Address); // kept connections to it
 
   std::size_t idle() const; // kept connections to all addresses
 
--- a/hyssopledge/transport/http_listener.cpp
+++ b/hyssopledge/transport/http_listener.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <deque>
 #include <optional>
 #include <set>
 #include <sys/socket.h>
@@ -19,6 +20,7 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
+using state::boot_clock;
 
 struct http_listener::core : std::enable_shared_from_this<core> {
   core(std::vector<asio::io_context *> Loops, listener_options Options,
@@ -44,9 +46,10 @@
   std::atomic<bool> Closed{false};
 };
 
+/// One connection. Bytes are read all the time, so that a close by the caller
+/// is seen while its requests are handled.
 class http_listener::session final
-    : public server_exchange,
-      public std::enable_shared_from_this<session> {
+    : public std::enable_shared_from_this<session> {
 public:
   session(std::shared_ptr<core> Core, tcp::socket Socket, std::size_t Loop,
           bool OverLimit)
@@ -56,273 +59,323 @@
   void start() {
     error_code Ignored;
     Socket.set_option(tcp::no_delay(true), Ignored);
+    Local = Socket.remote_endpoint(Ignored).address() ==
+            Socket.local_endpoint(Ignored).address();
     Core->Sessions[Loop].insert(shared_from_this());
-    awaitRequest();
+    expectWithin(Core->Options.IdleTimeout);
+    read();
   }
 
-  /// Closes the connection and tells the handler of a waiting request.
-  void gone() {
-    const std::function<void()> Handler =
-        State == state_kind::Handling ? std::exchange(CancelHandler, nullptr)
-                                      : nullptr;
-    close();
-    if (Handler)
-      Handler();
-  }
+  /// Closes the connection and tells the handlers of waiting requests.
+  void gone();
 
-  void close() {
-    if (State == state_kind::Closed)
-      return;
-    const bool WasActive =
-        State == state_kind::Handling || State == state_kind::Writing;
-    State = state_kind::Closed;
-    if (WasActive)
-      --Core->Active;
-    --Core->Connections;
-    CancelHandler = nullptr;
-    Timer.cancel();
-    error_code Ignored;
-    Socket.close(Ignored);
-    Core->Sessions[Loop].erase(shared_from_this());
-  }
+private:
+  class exchange;
+
+  void close();
+  void read();
+  void onBytes(const error_code &Error);
+  void parse();
+  void onRequest();
+  void refuseInput(const error_code &Error);
+  void onAnswer();
+  void writeNext();
+  void onWritten(const error_code &Error);
+  void expectWithin(boot_clock::duration Time);
+  void armTimer();
+  bool full() const;
+
+  static constexpr std::size_t ReadBytes = 4 * 1024; // for one read
+  // Input beyond this and a header waits in the kernel.
+  static constexpr std::size_t MinUnparsed = 16 * 1024;
+  static constexpr std::chrono::seconds LingerTime{2};
+
+  std::shared_ptr<core> Core;
+  tcp::socket Socket;
+  asio::steady_timer Timer;
+  std::size_t Loop;
+  bool OverLimit;
+  bool Local = false; // the caller runs on this instance
+  bool Closed = false;
+  bool Reading = false;
+  bool Writing = false;
+  bool Lingering = false;
+  bool InputEnded = false;        // nothing more is parsed
+  bool TimerArmed = false;
+  state::time_point ExpectedBy{}; // input, or the connection is closed
+  beast::flat_buffer Buffer;
+  std::optional<http::request_parser<http::string_body>> Parser;
+  std::optional<http::response_serializer<http::string_body>> HeadSerializer;
+  std::deque<std::shared_ptr<exchange>> Pending; // in the order of arrival
+};
+
+class http_listener::session::exchange final : public server_exchange {
+public:
+  exchange(std::shared_ptr<session> Session, http_request Request,
+           bool KeepAlive, std::size_t Loop, bool Local)
+      : Request(std::move(Request)), KeepAlive(KeepAlive),
+        Session(std::move(Session)), Loop(Loop), Local(Local) {}
 
   //--- server_exchange --------------------------------------------------------
   const http_request &request() const override { return Request; }
   std::size_t loop() const override { return Loop; }
-
+  bool local() const override { return Local; }
   void onCancel(std::function<void()> Handler) override {
     CancelHandler = std::move(Handler);
   }
-
   void respond(http_response Response) override {
-    if (State != state_kind::Handling)
-      return;
+    const auto Owner = Session.lock();
     CancelHandler = nullptr;
-    KeepAlive = KeepAlive && !Core->LastAnswers;
-    send(std::move(Response));
+    if (!Owner || Answered)
+      return;
+    Answered = true;
+    Answer = std::move(Response);
+    Owner->onAnswer();
   }
 
+  std::function<void()> takeCancelHandler() {
+    return std::exchange(CancelHandler, nullptr);
+  }
+
+  http_request Request;
+  http_response Answer;
+  bool KeepAlive;
+  bool Answered = false;
+
 private:
-  enum class state_kind {
-    Idle,      // waits for the first byte of a request
-    Receiving, // reads a request
-    Handling,  // the request was handed on
-    Writing,   // writes the answer
-    Lingering, // the answer is written, the rest of the input is thrown away
-    Closed,
-  };
+  std::weak_ptr<session> Session;
+  std::size_t Loop;
+  bool Local;
+  std::function<void()> CancelHandler;
+};
 
-  void awaitRequest() {
-    State = state_kind::Idle;
-    if (Buffer.size() > 0)
-      return receive();
-    startTimer(Core->Options.IdleTimeout);
-    watch();
-  }
+void http_listener::session::gone() {
+  const auto Cut = std::move(Pending);
+  Pending.clear();
+  Core->Active -= Cut.size();
+  close();
+  for (const auto &Exchange : Cut)
+    if (const auto Handler = Exchange->takeCancelHandler())
+      Handler();
+}
 
-  /// At most one wait is under way; it serves the next request and the check
-  /// for a caller that has gone.
-  void watch() {
-    if (Watching)
-      return;
-    Watching = true;
-    Socket.async_wait(tcp::socket::wait_read,
-                      [Self = shared_from_this()](const error_code &Error) {
-                        Self->Watching = false;
-                        Self->onReadable(Error);
-                      });
-  }
+void http_listener::session::close() {
+  if (Closed)
+    return;
+  Closed = true;
+  --Core->Connections;
+  Timer.cancel();
+  error_code Ignored;
+  Socket.close(Ignored);
+  Core->Sessions[Loop].erase(shared_from_this());
+}
 
-  void onReadable(const error_code &Error) {
-    if (State == state_kind::Closed)
-      return;
-    if (Error)
-      return gone();
-    if (State == state_kind::Idle)
-      return receive();
-    if (State != state_kind::Handling)
+void http_listener::session::expectWithin(boot_clock::duration Time) {
+  ExpectedBy = boot_clock::now() + Time;
+  if (!TimerArmed)
+    armTimer();
+}
+
+/// One timer serves all waits: it is set again when it ends too early.
+void http_listener::session::armTimer() {
+  TimerArmed = true;
+  Timer.expires_after(ExpectedBy - boot_clock::now());
+  Timer.async_wait([Weak = weak_from_this()](const error_code &Error) {
+    const auto Self = Weak.lock();
+    if (Error || !Self || Self->Closed)
       return;
-    char Byte = 0;
-    const auto Bytes =
-        ::recv(Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (Bytes > 0)
-      return; // the next request waits for its turn
-    if (Bytes < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-      return watch();
-    gone();
-  }
+    Self->TimerArmed = false;
+    if (boot_clock::now() < Self->ExpectedBy)
+      return Self->armTimer();
+    if (Self->Pending.empty() || Self->Lingering)
+      return Self->gone();
+    Self->expectWithin(Self->Core->Options.IdleTimeout);
+  });
+}
 
-  void startTimer(std::chrono::seconds Time) {
-    Timer.expires_after(Time);
-    Timer.async_wait([Weak = weak_from_this()](const error_code &Error) {
-      const auto Self = Weak.lock();
-      if (!Error && Self)
-        Self->close();
-    });
-  }
+bool http_listener::session::full() const {
+  return Pending.size() >= Core->Options.MaxPipelined;
+}
+
+void http_listener::session::read() {
+  // A whole header must fit, or its end would never be read.
+  const std::size_t MaxUnparsed =
+      MinUnparsed + Core->Options.MaxHeaderBytes;
+  if (Reading || Closed || Buffer.size() >= MaxUnparsed)
+    return;
+  Reading = true;
+  Socket.async_read_some(
+      Buffer.prepare(ReadBytes),
+      [Self = shared_from_this()](const error_code &Error, std::size_t Bytes) {
+        Self->Reading = false;
+        if (Self->Closed)
+          return;
+        Self->Buffer.commit(Bytes);
+        Self->onBytes(Error);
+      });
+}
 
-  void receive() {
-    State = state_kind::Receiving;
-    startTimer(Core->Options.ReceiveTimeout);
-    Parser.emplace();
-    Parser->body_limit(Core->Options.MaxBodyBytes);
-    Parser->header_limit(MaxHeaderBytes);
-    http::async_read_header(
-        Socket, Buffer, *Parser,
-        [Self = shared_from_this()](const error_code &Error, std::size_t) {
-          Self->onHeader(Error);
-        });
+void http_listener::session::onBytes(const error_code &Error) {
+  if (Error) {
+    if (Lingering)
+      return close();
+    return gone();
   }
+  if (Lingering || InputEnded) {
+    Buffer.clear();
+    return read();
+  }
+  parse();
+  read();
+}
 
-  void onHeader(const error_code &Error) {
-    if (State == state_kind::Closed)
-      return;
-    if (Error)
+void http_listener::session::parse() {
+  while (!Closed && !InputEnded && Buffer.size() > 0 && !full()) {
+    if (Parser && Parser->is_done())
+      return; // waits for the requests before it
+    if (!Parser) {
+      Parser.emplace();
+      Parser->eager(true);
+      Parser->body_limit(Core->Options.MaxBodyBytes);
+      Parser->header_limit(Core->Options.MaxHeaderBytes);
+      expectWithin(Core->Options.ReceiveTimeout);
+    }
+    const bool HadHeader = Parser->is_header_done();
+    error_code Error;
+    const std::size_t Used = Parser->put(Buffer.data(), Error);
+    Buffer.consume(Used);
+    if (Error && Error != http::error::need_more)
       return refuseInput(Error);
-    if (!Parser->is_done() &&
-        beast::iequals(Parser->get()[http::field::expect], "100-continue")) {
+    if (!HadHeader && Parser->is_header_done() && !Parser->is_done() &&
+        beast::iequals(Parser->get()[http::field::expect], "100-continue") &&
+        Pending.empty()) {
       static constexpr std::string_view Continue =
           "HTTP/1.1 100 Continue\r\n\r\n";
-      asio::async_write(
-          Socket, asio::buffer(Continue.data(), Continue.size()),
-          [Self = shared_from_this()](const error_code &Error, std::size_t) {
-            if (Error)
-              return Self->close();
-            Self->receiveBody();
-          });
-      return;
+      asio::async_write(Socket, asio::buffer(Continue.data(), Continue.size()),
+                        [Self = shared_from_this()](const error_code &Failed,
+                                                    std::size_t) {
+                          if (Failed && !Self->Closed)
+                            Self->gone();
+                        });
     }
-    receiveBody();
-  }
-
-  void receiveBody() {
-    if (State == state_kind::Closed)
+    if (!Parser->is_done()) {
+      if (Used == 0)
+        return;
+      continue;
+    }
+    // What is not idempotent is not run beside the requests before it.
+    const auto Method = Parser->get().method();
+    if (!Pending.empty() && Method != http::verb::get &&
+        Method != http::verb::head)
       return;
-    if (Parser->is_done())
-      return onRequest({});
-    http::async_read(
-        Socket, Buffer, *Parser,
-        [Self = shared_from_this()](const error_code &Error, std::size_t) {
-          Self->onRequest(Error);
-        });
+    onRequest();
   }
+}
 
-  void onRequest(const error_code &Error) {
-    if (State == state_kind::Closed)
-      return;
-    if (Error)
-      return refuseInput(Error);
-    Timer.cancel();
-    KeepAlive = Parser->keep_alive();
-    Request = Parser->release();
-    State = state_kind::Handling;
-    ++Core->Active;
-    if (OverLimit) {
-      KeepAlive = false;
-      return send(daemonAnswer(503, NotRun, "too-many-connections",
-                               "the daemon has no room for more connections"));
-    }
-    if (Buffer.size() == 0)
-      watch();
-    Core->Handler(shared_from_this());
+void http_listener::session::onRequest() {
+  const bool KeepAlive = Parser->keep_alive();
+  auto Exchange = std::make_shared<exchange>(
+      shared_from_this(), Parser->release(), KeepAlive, Loop, Local);
+  Parser.reset();
+  Pending.push_back(Exchange);
+  ++Core->Active;
+  InputEnded = !KeepAlive;
+  expectWithin(Core->Options.IdleTimeout);
+  if (OverLimit) {
+    InputEnded = true;
+    Exchange->KeepAlive = false;
+    return Exchange->respond(
+        daemonAnswer(503, NotRun, "too-many-connections",
+                     "the daemon has no room for more connections"));
   }
+  Core->Handler(std::move(Exchange));
+}
 
-  /// Answers what is not a request that can be handed on.
-  void refuseInput(const error_code &Error) {
-    if (Error == http::error::end_of_stream ||
-        Error == http::error::partial_message ||
-        Error.category() == asio::error::get_system_category() ||
-        Error.category() == asio::error::get_misc_category())
-      return close();
-    Timer.cancel();
-    KeepAlive = false;
-    Linger = true;
-    State = state_kind::Handling;
-    ++Core->Active;
-    if (Error == http::error::body_limit)
-      return send(daemonAnswer(413, NotRun, "body-too-large",
-                               "the body is over " +
-                                   std::to_string(Core->Options.MaxBodyBytes) +
-                                   " bytes"));
-    if (Error == http::error::header_limit)
-      return send(daemonAnswer(431, NotRun, "header-too-large",
-                               "the header is over " +
-                                   std::to_string(MaxHeaderBytes) + " bytes"));
-    send(daemonAnswer(400, NotRun, "malformed-http",
-                      "not an HTTP/1.1 request: " + Error.message()));
-  }
+/// Answers what is not a request that can be handed on.
+void http_listener::session::refuseInput(const error_code &Error) {
+  InputEnded = true;
+  Parser.reset();
+  http_response Refusal;
+  if (Error == http::error::body_limit)
+    Refusal = daemonAnswer(413, NotRun, "body-too-large",
+                           "the body is over " +
+                               std::to_string(Core->Options.MaxBodyBytes) +
+                               " bytes");
+  else if (Error == http::error::header_limit)
+    Refusal = daemonAnswer(431, NotRun, "header-too-large",
+                           "the header is over " +
+                               std::to_string(Core->Options.MaxHeaderBytes) +
+                               " bytes");
+  else
+    Refusal = daemonAnswer(400, NotRun, "malformed-http",
+                           "not an HTTP/1.1 request: " + Error.message());
+  auto Exchange = std::make_shared<exchange>(shared_from_this(), http_request(),
+                                             false, Loop, Local);
+  Pending.push_back(Exchange);
+  ++Core->Active;
+  Exchange->respond(std::move(Refusal));
+}
 
-  void send(http_response Response) {
-    State = state_kind::Writing;
-    Response.version(11);
-    Response.keep_alive(KeepAlive);
-    // An answer to HEAD keeps the length of the body it stands for.
-    const bool Head = !Linger && Request.method() == http::verb::head;
-    if (!Head)
-      Response.prepare_payload();
-    Answer = std::move(Response);
-    const auto Done = [Self = shared_from_this()](const error_code &Error,
-                                                  std::size_t) {
-      Self->onWritten(Error);
-    };
-    if (Head) {
-      HeadSerializer.emplace(Answer);
-      HeadSerializer->split(true);
-      http::async_write_header(Socket, *HeadSerializer, Done);
-    } else {
-      http::async_write(Socket, Answer, Done);
-    }
-  }
+void http_listener::session::onAnswer() {
+  if (!Writing)
+    writeNext();
+}
 
-  void onWritten(const error_code &Error) {
-    if (State == state_kind::Closed)
-      return;
-    if (Error)
-      return close();
-    State = state_kind::Idle;
-    --Core->Active;
-    if (KeepAlive)
-      return awaitRequest();
-    error_code Ignored;
-    Socket.shutdown(tcp::socket::shutdown_send, Ignored);
-    if (!Linger)
-      return close();
-    // Closing with unread input resets the connection, and the peer could lose
-    // the answer before reading it.
-    State = state_kind::Lingering;
-    startTimer(std::chrono::seconds(2));
-    discard();
+void http_listener::session::writeNext() {
+  if (Closed || Writing || Pending.empty() || !Pending.front()->Answered)
+    return;
+  Writing = true;
+  exchange &Next = *Pending.front();
+  // Requests behind this one that were handed on keep the connection open.
+  if (Core->LastAnswers && Pending.size() == 1) {
+    Next.KeepAlive = false;
+    InputEnded = true;
   }
-
-  void discard() {
-    Buffer.clear();
-    Socket.async_read_some(
-        Buffer.prepare(16 * 1024),
-        [Self = shared_from_this()](const error_code &Error, std::size_t) {
-          if (Self->State == state_kind::Closed)
-            return;
-          if (Error)
-            return Self->close();
-          Self->discard();
-        });
+  Next.Answer.version(11);
+  Next.Answer.keep_alive(Next.KeepAlive);
+  // An answer to HEAD keeps the length of the body it stands for.
+  const bool Head = Next.Request.method() == http::verb::head;
+  if (!Head)
+    Next.Answer.prepare_payload();
+  const auto Done = [Self = shared_from_this(), Kept = Pending.front()](
+                        const error_code &Error, std::size_t) {
+    Self->onWritten(Error);
+  };
+  if (Head) {
+    HeadSerializer.emplace(Next.Answer);
+    HeadSerializer->split(true);
+    http::async_write_header(Socket, *HeadSerializer, Done);
+  } else {
+    http::async_write(Socket, Next.Answer, Done);
   }
+}
 
-  std::shared_ptr<core> Core;
-  tcp::socket Socket;
-  asio::steady_timer Timer;
-  std::size_t Loop;
-  bool OverLimit;
-  bool Watching = false;
-  bool KeepAlive = false;
-  bool Linger = false;
-  state_kind State = state_kind::Idle;
-  beast::flat_buffer Buffer;
-  std::optional<http::request_parser<http::string_body>> Parser;
-  std::optional<http::response_serializer<http::string_body>> HeadSerializer;
-  http_request Request;
-  http_response Answer;
-  std::function<void()> CancelHandler;
-};
+void http_listener::session::onWritten(const error_code &Error) {
+  if (Closed)
+    return;
+  Writing = false;
+  if (Error)
+    return gone();
+  const bool KeepAlive = Pending.front()->KeepAlive;
+  Pending.pop_front();
+  --Core->Active;
+  if (KeepAlive) {
+    expectWithin(Core->Options.IdleTimeout);
+    writeNext();
+    if (Parser && Parser->is_done() && Pending.empty())
+      onRequest();
+    parse();
+    return read();
+  }
+  error_code Ignored;
+  Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+  // Closing with unread input resets the connection, and the peer could lose
+  // the answer before reading it.
+  Lingering = true;
+  expectWithin(LingerTime);
+  Buffer.clear();
+  read();
+}
 
 void http_listener::core::accept() {
   const std::size_t Loop = Next++ % Loops.size();
@@ -381,6 +434,10 @@
 
 std::string http_listener::address() const { return Core->Address; }
 
+void http_listener::setOptions(const listener_options &Options) {
+  Core->Options = Options;
+}
+
 void http_listener::stopAccepting() {
   asio::post(*Core->Loops.front(), [Core = Core] {
     error_code Ignored;
--- a/hyssopledge/transport/http_listener.h
+++ b/hyssopledge/transport/http_listener.h
@@ -21,6 +21,11 @@
   std::size_t MaxConnections = 4096; // more are answered "not run" and closed
   std::chrono::seconds IdleTimeout{75};
   std::chrono::seconds ReceiveTimeout{30}; // for one whole request
+  std::uint32_t MaxHeaderBytes = transport::MaxHeaderBytes;
+  /// Requests of one connection that are handed on at once; answers are written
+  /// in the order of the requests. Requests that are not idempotent wait until
+  /// those before them are answered.
+  std::size_t MaxPipelined = 1;
 };
 
 /// One request and the place for its answer. Use it on the loop that handed it
@@ -32,9 +37,11 @@
   /// Sends the answer; call it once. Nothing is sent when the caller has gone.
   /// Keep-alive and length fields are set here.
   virtual void respond(http_response Response) = 0;
-  /// The handler is called when the caller closes its connection before the
-  /// answer. A caller that closes its sending side only counts as gone.
+  /// The handler is called when the caller closes its connection, or the
+  /// connection fails, before the answer. A caller that closes its sending side only counts as gone.
   virtual void onCancel(std::function<void()> Handler) = 0;
+  /// Whether the caller runs on this daemon's instance.
+  virtual bool local() const = 0;
   /// Position of its loop in the listener's list.
   virtual std::size_t loop() const = 0;
 };
@@ -53,6 +60,9 @@
   http_listener &operator=(const http_listener &) = delete;
 
   std::string address() const; // "ip:port" as bound
+  /// For connections and requests that begin after the call. Call it on the
+  /// loop of a listener with a single loop.
+  void setOptions(const listener_options &Options);
   /// Closes the listening socket; connections go on.
   void stopAccepting();
   /// From now on each answer ends its connection.
--- a/hyssopledge/transport/logging.cpp
+++ b/hyssopledge/transport/logging.cpp
@@ -2,7 +2,11 @@
 
 #include <array>
 #include <cctype>
+#include <cerrno>
+#include <chrono>
+#include <cstdint>
 #include <fcntl.h>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/helpers/transcoder.h>
@@ -60,13 +64,88 @@
   return boost::outcome_v2::success();
 }
 
-void replaceAppender(const std::string &Path) {
+/// Lines on their way to standard output. A reader that is slow or gone delays
+/// nobody: what does not fit is counted.
+class bounded_output {
+public:
+  void add(std::string_view Line, bool Limited) {
+    const std::lock_guard<std::mutex> Guard(Lock);
+    const auto Now = std::chrono::steady_clock::now();
+    if (Now - Second >= std::chrono::seconds(1)) {
+      Second = Now;
+      Lines = 0;
+    }
+    if ((Limited && Lines >= MaxLogLinesPerSecond) ||
+        Buffer.size() + Line.size() > MaxLogBufferBytes) {
+      ++Dropped;
+      return;
+    }
+    ++Lines;
+    Buffer.append(Line);
+  }
+
+  void flush() {
+    const std::lock_guard<std::mutex> Guard(Lock);
+    if (Dropped > 0 && Buffer.size() < MaxLogBufferBytes / 2) {
+      Buffer += "level=WARN event=log_lines_dropped count=" +
+                std::to_string(Dropped) + "\n";
+      Dropped = 0;
+    }
+    while (!Buffer.empty()) {
+      const auto Written = ::write(STDOUT_FILENO, Buffer.data(), Buffer.size());
+      if (Written <= 0) {
+        // Nobody will read it any more.
+        if (Written < 0 && errno != EAGAIN && errno != EINTR)
+          Buffer.clear();
+        return;
+      }
+      Buffer.erase(0, static_cast<std::size_t>(Written));
+    }
+  }
+
+private:
+  std::mutex Lock;
+  std::string Buffer;
+  std::chrono::steady_clock::time_point Second{};
+  unsigned Lines = 0; // in this second
+  std::uint64_t Dropped = 0;
+};
+
+bounded_output &boundedOutput() {
+  static bounded_output Output;
+  return Output;
+}
+
+class bounded_appender final : public log4cxx::AppenderSkeleton {
+public:
+  explicit bounded_appender(const log4cxx::LayoutPtr &Layout)
+      : AppenderSkeleton(Layout) {}
+  void close() override {}
+  bool requiresLayout() const override { return true; }
+
+protected:
+  void append(const log4cxx::spi::LoggingEventPtr &Event,
+              log4cxx::helpers::Pool &Pool) override {
+    log4cxx::LogString Line;
+    getLayout()->format(Line, Event, Pool);
+    LOG4CXX_ENCODE_CHAR(Text, Line);
+    // Warnings and errors are rare and are not counted against the rate.
+    boundedOutput().add(
+        Text, !Event->getLevel()->isGreaterOrEqual(log4cxx::Level::getWarn()));
+  }
+};
+
+void replaceAppender(const std::string &Path, log_output Output) {
   // UTC, so that lines of several data centres can be merged.
   LOG4CXX_DECODE_CHAR(Pattern,
                       "time=%d{yyyy-MM-ddTHH:mm:ss.SSS}{UTC}Z level=%p %m%n");
   const log4cxx::LayoutPtr Layout(new log4cxx::PatternLayout(Pattern));
   log4cxx::AppenderPtr Appender;
-  if (Path.empty()) {
+  if (Output == log_output::Bounded) {
+    const int Flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    ::fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
+    Appender.reset(new bounded_appender(Layout));
+  } else if (Path.empty()) {
     LOG4CXX_DECODE_CHAR(Target, "System.err");
     Appender.reset(new log4cxx::ConsoleAppender(Layout, Target));
   } else {
@@ -106,7 +185,7 @@
   logFile().Path = Options.File;
   logger()->setAdditivity(false);
   logger()->setLevel(toLog4cxx(Options.Level));
-  replaceAppender(Options.File);
+  replaceAppender(Options.File, Options.Output);
   return boost::outcome_v2::success();
 }
 
@@ -116,10 +195,12 @@
     return boost::outcome_v2::success();
   if (auto Usable = checkWritable(logFile().Path); Usable.has_error())
     return Usable;
-  replaceAppender(logFile().Path);
+  replaceAppender(logFile().Path, log_output::File);
   return boost::outcome_v2::success();
 }
 
+void flushLog() { boundedOutput().flush(); }
+
 log_field::log_field(std::string_view Key, std::string_view Text) : Key(Key) {
   bool Plain = !Text.empty();
   for (const char Character : Text)
--- a/hyssopledge/transport/logging.h
+++ b/hyssopledge/transport/logging.h
@@ -4,6 +4,7 @@
 
 #include "hyssopledge/state/result.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -14,9 +15,15 @@
 
 enum class log_level { Trace, Debug, Info, Warn, Error };
 
+enum class log_output {
+  File,    // standard error when the file's name is empty
+  Bounded, // standard output, never blocking: see flushLog()
+};
+
 struct log_options {
   std::string File; // empty: standard error
   log_level Level = log_level::Info;
+  log_output Output = log_output::File;
 };
 
 /// "trace", "debug", "info", "warn" or "error".
@@ -30,6 +37,16 @@
 /// from a control thread.
 state::result<void> reopenLog();
 
+/// Writes what standard output takes at once (log_output::Bounded). Lines wait
+/// in a buffer of MaxLogBufferBytes; lines that don't fit, and lines beyond
+/// MaxLogLinesPerSecond, are counted and the count is logged. Call it from a
+/// timer.
+void flushLog();
+constexpr std::size_t MaxLogBufferBytes = 128 * 1024;
+// About 20 % of what a small instance answers in a second of overload; a line
+// costs about 20 us of processor time.
+constexpr unsigned MaxLogLinesPerSecond = 60;
+
 /// One value of a line. Numbers are written as they are, text is quoted when
 /// it holds anything but letters, digits and -_.:/+@%.
 struct log_field {
