--- a/hyssopledge/transport/logging.cpp
+++ b/hyssopledge/transport/logging.cpp
@@ -118,8 +118,9 @@
 
 class bounded_appender final : public log4cxx::AppenderSkeleton {
 public:
-  explicit bounded_appender(const log4cxx::LayoutPtr &Layout)
-      : AppenderSkeleton(Layout) {}
+  explicit bounded_appender(const log4cxx::LayoutPtr &Layout) {
+    setLayout(Layout);
+  }
   void close() override {}
   bool requiresLayout() const override { return true; }
 
