Run short requests first and refuse new requests late in a shutdown

Cause: all callers share the instance's address, so every request counted as a call of a running request and the queue kept no order. After SIGTERM a daemon took requests that could not end within the grace time. Change: requests of kinds that are much shorter than the longest go first; 2.8 s after SIGTERM new requests are refused as not run.

--- a/apps/hyssop_mesh/mesh_daemon.cpp
+++ b/apps/hyssop_mesh/mesh_daemon.cpp
@@ -24,10 +24,12 @@
 // then their connections stay open.
 constexpr milliseconds CloseConnectionsAfter{1200};
 constexpr milliseconds LeaveAtLeast{2500};
+// What comes later than this could outlast the grace time.
+constexpr milliseconds RefuseAfter{2800};
 // Without a request for this long, the callers have gone.
 constexpr milliseconds QuietTime{400};
 // Before the platform's kill.
-constexpr milliseconds GraceMargin{500};
+constexpr milliseconds GraceMargin{800};
 // Part of the drain time in which requests that were on their way are run.
 constexpr int DrainPart = 3;
 // A connection to another daemon or an upstream on which nothing is
@@ -360,6 +362,8 @@
     IdleSince = Now;
   if (Now - LeavingSince >= CloseConnectionsAfter)
     Plane->closeAfterAnswers();
+  if (Now - LeavingSince >= RefuseAfter)
+    Plane->refuseCallers();
   const bool Quiet =
       Now - LeavingSince >= LeaveAtLeast && Now - IdleSince >= QuietTime;
   const bool Last = Now - LeavingSince >= Settings.Grace - GraceMargin;
--- a/hyssopledge/state/slot_queue.cpp
+++ b/hyssopledge/state/slot_queue.cpp
@@ -17,6 +17,8 @@
 // Run times vary: a run is planned this much longer than the mean when its
 // deadline decides.
 constexpr double DeadlineMargin = 1.3;
+// Runs of up to this part of the longest kind's mean are short.
+constexpr double ShortPart = 0.35;
 // A run that has lasted longer than the mean is expected to last this part of
 // it on.
 constexpr double LeastRest = 0.25;
@@ -47,6 +49,13 @@
              : milliseconds(static_cast<std::int64_t>(Found->second));
 }
 
+milliseconds run_time_table::longest() const {
+  double Longest = 0;
+  for (const auto &[Kind, Ms] : MeanMs)
+    Longest = std::max(Longest, Ms);
+  return milliseconds(static_cast<std::int64_t>(Longest));
+}
+
 milliseconds slot_queue::mean(const slot_request &Request) const {
   return RunTimes.mean(Request.Kind, Request.Guess);
 }
@@ -55,6 +64,10 @@
   return RunTimes.mean(AllKinds, milliseconds(0));
 }
 
+bool slot_queue::isShort(const slot_request &Request) const {
+  return mean(Request) <= scaled(RunTimes.longest(), ShortPart);
+}
+
 bool slot_queue::onTime(const slot_request &Request, time_point Now) const {
   return Now + mean(Request) <= Request.AimAt;
 }
@@ -62,7 +75,7 @@
 std::uint64_t slot_queue::rank(const slot_request &Request,
                                time_point Now) const {
   constexpr std::uint64_t Late = 1ULL << 40;
-  if (Request.Nested)
+  if (isShort(Request))
     return 0;
   const auto LastStart =
       Request.Deadline - scaled(mean(Request), DeadlineMargin);
@@ -125,7 +138,7 @@
     return Decision;
   }
   const bool Late = Now + Decision.ExpectedWait + Run > Request.AimAt;
-  if (Late && !Request.Nested) {
+  if (Late && !isShort(Request)) {
     // What is late goes behind everything that can be on time.
     milliseconds Ahead{0};
     for (const slot_request &Other : Waiting)
--- a/hyssopledge/state/slot_queue.h
+++ b/hyssopledge/state/slot_queue.h
@@ -9,8 +9,9 @@
 ///   make every answer late; late ones use what is left.
 /// - Overload that lasts: a request that can't be answered in its time is
 ///   refused when it arrives, not when its deadline passes.
-/// - Chains of calls: a call of a running request goes before new requests,
-///   since its refusal would waste the run of its parent.
+/// - Chains of calls: the calls that running requests make are shorter than the
+///   requests that callers send. Short requests go first, since they delay the
+///   others little and their refusal would waste the run of their parent.
 /// - One slow upstream: its own run times, by kind of request, decide.
 #pragma once
 
@@ -29,6 +30,7 @@
   void record(const std::string &Kind, milliseconds RunTime);
   /// The mean, or Guess when no run of the kind has ended.
   milliseconds mean(const std::string &Kind, milliseconds Guess) const;
+  milliseconds longest() const; // of the means
 
 private:
   std::unordered_map<std::string, double> MeanMs;
@@ -37,11 +39,10 @@
 struct slot_request {
   std::uint64_t Ticket = 0;
   std::string Kind;
-  bool Nested = false;      // a call of a request that runs
-  bool MayBeLate = true;    // refuse it when it would miss its aim
+  bool MayBeLate = true; // false: refuse it when it would miss its aim
   std::uint32_t Priority = 0; // 0: most urgent
-  milliseconds Guess{50};   // run time while none is known
-  time_point AimAt{};       // full value until then
+  milliseconds Guess{50};     // run time while none is known
+  time_point AimAt{};         // full value until then
   time_point Deadline{};
 };
 
@@ -98,6 +99,7 @@
   };
 
   milliseconds mean(const slot_request &Request) const;
+  bool isShort(const slot_request &Request) const;
   bool onTime(const slot_request &Request, time_point Now) const;
   /// Lower goes first.
   std::uint64_t rank(const slot_request &Request, time_point Now) const;
--- a/hyssopledge/transport/hop.cpp
+++ b/hyssopledge/transport/hop.cpp
@@ -43,8 +43,6 @@
   Text += std::to_string(Call.TimeLeft.count()) + Separator +
           std::to_string(Call.AimLeft.count()) + Separator +
           std::to_string(Call.Priority) + Separator;
-  if (Call.Nested)
-    Text += 'n';
   if (Call.MayBeLate)
     Text += 'l';
   if (Call.Repeated)
@@ -67,7 +65,6 @@
   Call.CallerService = Parts[2];
   Call.TimeLeft = state::milliseconds(TimeLeft);
   Call.AimLeft = state::milliseconds(AimLeft);
-  Call.Nested = Parts[6].find('n') != std::string_view::npos;
   Call.MayBeLate = Parts[6].find('l') != std::string_view::npos;
   Call.Repeated = Parts[6].find('r') != std::string_view::npos;
   return Call;
--- a/hyssopledge/transport/hop.h
+++ b/hyssopledge/transport/hop.h
@@ -19,7 +19,6 @@
   state::milliseconds TimeLeft{0};
   state::milliseconds AimLeft{0}; // below 0: already missed
   std::uint32_t Priority = 0;
-  bool Nested = false;    // a call of a request that runs
   bool MayBeLate = false; // run it although it will miss its aim
   bool Repeated = false;  // it has reached an upstream before
 };
--- a/hyssopledge/transport/http_listener.cpp
+++ b/hyssopledge/transport/http_listener.cpp
@@ -59,8 +59,6 @@
   void start() {
     error_code Ignored;
     Socket.set_option(tcp::no_delay(true), Ignored);
-    Local = Socket.remote_endpoint(Ignored).address() ==
-            Socket.local_endpoint(Ignored).address();
     Core->Sessions[Loop].insert(shared_from_this());
     expectWithin(Core->Options.IdleTimeout);
     read();
@@ -95,7 +93,6 @@
   asio::steady_timer Timer;
   std::size_t Loop;
   bool OverLimit;
-  bool Local = false; // the caller runs on this instance
   bool Closed = false;
   bool Reading = false;
   bool Writing = false;
@@ -112,14 +109,13 @@
 class http_listener::session::exchange final : public server_exchange {
 public:
   exchange(std::shared_ptr<session> Session, http_request Request,
-           bool KeepAlive, std::size_t Loop, bool Local)
+           bool KeepAlive, std::size_t Loop)
       : Request(std::move(Request)), KeepAlive(KeepAlive),
-        Session(std::move(Session)), Loop(Loop), Local(Local) {}
+        Session(std::move(Session)), Loop(Loop) {}
 
   //--- server_exchange --------------------------------------------------------
   const http_request &request() const override { return Request; }
   std::size_t loop() const override { return Loop; }
-  bool local() const override { return Local; }
   void onCancel(std::function<void()> Handler) override {
     CancelHandler = std::move(Handler);
   }
@@ -145,7 +141,6 @@
 private:
   std::weak_ptr<session> Session;
   std::size_t Loop;
-  bool Local;
   std::function<void()> CancelHandler;
 };
 
@@ -275,7 +270,7 @@
 void http_listener::session::onRequest() {
   const bool KeepAlive = Parser->keep_alive();
   auto Exchange = std::make_shared<exchange>(
-      shared_from_this(), Parser->release(), KeepAlive, Loop, Local);
+      shared_from_this(), Parser->release(), KeepAlive, Loop);
   Parser.reset();
   Pending.push_back(Exchange);
   ++Core->Active;
@@ -310,7 +305,7 @@
     Refusal = daemonAnswer(400, NotRun, "malformed-http",
                            "not an HTTP/1.1 request: " + Error.message());
   auto Exchange = std::make_shared<exchange>(shared_from_this(), http_request(),
-                                             false, Loop, Local);
+                                             false, Loop);
   Pending.push_back(Exchange);
   ++Core->Active;
   Exchange->respond(std::move(Refusal));
--- a/hyssopledge/transport/http_listener.h
+++ b/hyssopledge/transport/http_listener.h
@@ -40,8 +40,6 @@
   /// The handler is called when the caller closes its connection, or the
   /// connection fails, before the answer. A caller that closes its sending side only counts as gone.
   virtual void onCancel(std::function<void()> Handler) = 0;
-  /// Whether the caller runs on this daemon's instance.
-  virtual bool local() const = 0;
   /// Position of its loop in the listener's list.
   virtual std::size_t loop() const = 0;
 };
--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -79,6 +79,8 @@
     const auto Path = Request.target();
     if (Path.empty() || Path.front() != '/')
       return answerOwn(400, NotRun, "malformed-http");
+    if (Plane.Refusing)
+      return refuse("leaving", LeastRetryAfter);
     if (!Plane.Table)
       return refuse("no-document", NotReadyRetryAfter);
     Table = Plane.Table;
@@ -91,13 +93,10 @@
     Deadline = Started + TimeLeft;
     AimAt = Deadline;
     if (Route->Aim.count() > 0) {
-      milliseconds Passed{0};
-      if (!Caller->local()) {
-        milliseconds &Longest = Plane.LongestTime[Route->Name];
-        Longest = std::max(Longest, Given);
-        Passed = Longest - Given;
-      }
-      AimAt = Started + Route->Aim - Passed;
+      // The aim counts from the caller's first attempt.
+      milliseconds &Longest = Plane.LongestTime[Route->Name];
+      Longest = std::max(Longest, Given);
+      AimAt = Started + Route->Aim - (Longest - Given);
     }
     Repeatable = Route->Idempotent;
     chooseService();
@@ -200,7 +199,6 @@
     Hop.TimeLeft = inMilliseconds(Deadline - Now);
     Hop.AimLeft = inMilliseconds(AimAt - Now);
     Hop.Priority = Route->Priority;
-    Hop.Nested = Caller->local();
     Hop.MayBeLate = TriedLate;
     Hop.Repeated = Sends > 0;
     const std::uint64_t Sent = ++Epoch;
@@ -667,7 +665,7 @@
 
 void mesh_plane::closeAfterAnswers() { Entry->closeAfterAnswers(); }
 
-void mesh_plane::stopAccepting() { Entry->stopAccepting(); }
+void mesh_plane::refuseCallers() { Refusing = true; }
 
 std::size_t mesh_plane::active() const {
   return Entry->active() + Hop->active();
--- a/hyssopledge/transport/mesh_plane.h
+++ b/hyssopledge/transport/mesh_plane.h
@@ -65,7 +65,7 @@
 
   //--- Leaving ----------------------------------------------------------------
   void closeAfterAnswers(); // each answer to a caller ends its connection
-  void stopAccepting();
+  void refuseCallers();     // new requests are not run
   std::size_t active() const; // requests without a written answer
   std::size_t openCalls() const { return Calls.size(); }
 
@@ -125,6 +125,7 @@
   std::unordered_map<entry_call *, std::shared_ptr<entry_call>> Calls;
   boost::asio::steady_timer PeerTimer;
   state::time_point LastWatch{};
+  bool Refusing = false;
   std::unique_ptr<http_listener> Entry;
   std::unique_ptr<http_listener> Hop;
 };
--- a/hyssopledge/transport/upstream_port.cpp
+++ b/hyssopledge/transport/upstream_port.cpp
@@ -245,7 +245,6 @@
   state::slot_request Slot;
   Slot.Ticket = Ticket;
   Slot.Kind = Kept.Route;
-  Slot.Nested = Kept.Nested;
   Slot.MayBeLate = Kept.MayBeLate;
   Slot.Priority = Kept.Priority;
   Slot.Guess = Kept.AimLeft.count() > 0 ? Kept.AimLeft / GuessPartOfAim
