Judge late requests with the requests that go first counted in

Change: a late request is taken, at arrival and when it misses its aim, only if its wait divided by the slot time left over fits half of its time; only kinds with 5 % of the runs set what is short.

--- a/hyssopledge/state/slot_queue.cpp
+++ b/hyssopledge/state/slot_queue.cpp
@@ -1,6 +1,7 @@
 #include "hyssopledge/state/slot_queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace hyssopledge::state {
@@ -9,8 +10,12 @@
 
 // Weight of the newest run in a mean.
 constexpr double NewestWeight = 0.1;
-// Every run takes part in this mean, under a name that no route has.
-constexpr char AllKinds[] = "";
+// Kinds with a smaller part of the runs say nothing of the common run time.
+constexpr double NotablePart = 0.05;
+// Memory of the slot time that requests before their aim take.
+constexpr milliseconds BusyMemory{600};
+// A late request waits at most this much longer than the backlog alone says.
+constexpr double LeastFreePart = 0.05;
 // A late request whose last moment to start is this close goes first, since it
 // was accepted.
 constexpr milliseconds LastMoment{50};
@@ -36,23 +41,28 @@
 
 void run_time_table::record(const std::string &Kind, milliseconds RunTime) {
   const auto Ms = static_cast<double>(RunTime.count());
-  const auto [Found, New] = MeanMs.emplace(Kind, Ms);
-  if (!New)
-    Found->second += NewestWeight * (Ms - Found->second);
+  figure &Figure = Kinds[Kind];
+  Figure.MeanMs = Figure.Runs == 0
+                      ? Ms
+                      : Figure.MeanMs + NewestWeight * (Ms - Figure.MeanMs);
+  ++Figure.Runs;
+  ++Runs;
 }
 
 milliseconds run_time_table::mean(const std::string &Kind,
                                   milliseconds Guess) const {
-  const auto Found = MeanMs.find(Kind);
-  return Found == MeanMs.end()
+  const auto Found = Kinds.find(Kind);
+  return Found == Kinds.end()
              ? Guess
-             : milliseconds(static_cast<std::int64_t>(Found->second));
+             : milliseconds(static_cast<std::int64_t>(Found->second.MeanMs));
 }
 
 milliseconds run_time_table::longest() const {
   double Longest = 0;
-  for (const auto &[Kind, Ms] : MeanMs)
-    Longest = std::max(Longest, Ms);
+  for (const auto &[Kind, Figure] : Kinds)
+    if (static_cast<double>(Figure.Runs) >=
+        NotablePart * static_cast<double>(Runs))
+      Longest = std::max(Longest, Figure.MeanMs);
   return milliseconds(static_cast<std::int64_t>(Longest));
 }
 
@@ -60,10 +70,6 @@
   return RunTimes.mean(Request.Kind, Request.Guess);
 }
 
-milliseconds slot_queue::meanRun() const {
-  return RunTimes.mean(AllKinds, milliseconds(0));
-}
-
 bool slot_queue::isShort(const slot_request &Request) const {
   return mean(Request) <= scaled(RunTimes.longest(), ShortPart);
 }
@@ -106,9 +112,9 @@
     Rest += std::max(Run.Mean - inMilliseconds(Now - Run.Started),
                      scaled(Run.Mean, LeastRest));
   milliseconds Ahead{0};
-  for (const slot_request &Other : Waiting)
-    if (!before(Request, Other, Now))
-      Ahead += mean(Other);
+  for (const waiting_request &Other : Waiting)
+    if (!before(Request, Other.Request, Now))
+      Ahead += mean(Other.Request);
   const auto Count = static_cast<std::int64_t>(Slots);
   return Rest * 2 / (Count * (Count + 1)) + Ahead / Count;
 }
@@ -138,25 +144,40 @@
     return Decision;
   }
   const bool Late = Now + Decision.ExpectedWait + Run > Request.AimAt;
-  if (Late && !isShort(Request)) {
-    // What is late goes behind everything that can be on time.
-    milliseconds Ahead{0};
-    for (const slot_request &Other : Waiting)
-      Ahead += mean(Other);
-    const milliseconds Wait = Ahead / Slots;
-    const milliseconds Room =
-        scaled(inMilliseconds(Request.Deadline - Now) - Run, LateFill);
-    if (!Request.MayBeLate || Wait > Room) {
-      Decision.Reason = "late";
-      return Decision;
-    }
+  const bool LateHere = Late && !isShort(Request);
+  if (LateHere && (!Request.MayBeLate || !lateFits(Request, Now))) {
+    Decision.Reason = "late";
+    return Decision;
   }
-  Waiting.push_back(Request);
+  Waiting.push_back({Request, LateHere});
   Decision.Verdict = slot_verdict::Wait;
   return Decision;
 }
 
+bool slot_queue::lateFits(const slot_request &Request, time_point Now) const {
+  milliseconds Ahead{0};
+  for (const waiting_request &Other : Waiting)
+    Ahead += mean(Other.Request);
+  const double Free = std::max(LeastFreePart, 1 - busyOnTime(Now));
+  const milliseconds Wait = scaled(Ahead / Slots, 1 / Free);
+  return Wait <= scaled(inMilliseconds(Request.Deadline - Now) - mean(Request),
+                        LateFill);
+}
+
+double slot_queue::busyOnTime(time_point Now) const {
+  const double Passed =
+      std::chrono::duration<double, std::milli>(Now - OnTimeAt).count();
+  const auto Memory = static_cast<double>(BusyMemory.count());
+  return OnTimeMs * std::exp(-Passed / Memory) / (Memory * Slots);
+}
+
 void slot_queue::start(const slot_request &Request, time_point Now) {
+  if (isShort(Request) || onTime(Request, Now)) {
+    OnTimeMs = busyOnTime(Now) * static_cast<double>(BusyMemory.count()) *
+                   Slots +
+               static_cast<double>(mean(Request).count());
+    OnTimeAt = Now;
+  }
   Running.push_back({Request.Ticket, Request.Kind, Now, mean(Request)});
 }
 
@@ -164,10 +185,10 @@
   while (Running.size() < Slots && !Waiting.empty()) {
     auto First = Waiting.begin();
     for (auto It = First + 1; It != Waiting.end(); ++It)
-      if (before(*It, *First, Now))
+      if (before(It->Request, First->Request, Now))
         First = It;
-    start(*First, Now);
-    Out.push_back({First->Ticket, true});
+    start(First->Request, Now);
+    Out.push_back({First->Request.Ticket, true});
     Waiting.erase(First);
   }
 }
@@ -181,10 +202,8 @@
                    [&](const run &Run) { return Run.Ticket == Ticket; });
   if (Found == Running.end())
     return Out;
-  if (RunTime.count() > 0) {
+  if (RunTime.count() > 0)
     RunTimes.record(Found->Kind, RunTime);
-    RunTimes.record(AllKinds, RunTime);
-  }
   Running.erase(Found);
   Out = expire(Now);
   return Out;
@@ -192,19 +211,26 @@
 
 std::vector<slot_release> slot_queue::expire(time_point Now) {
   std::vector<slot_release> Out;
-  std::erase_if(Waiting, [&](const slot_request &Request) {
-    const bool Hopeless = Now + mean(Request) > Request.Deadline;
+  fill(Now, Out);
+  std::erase_if(Waiting, [&](waiting_request &Entry) {
+    const slot_request &Request = Entry.Request;
+    bool Hopeless = Now + mean(Request) > Request.Deadline;
+    if (!Hopeless && !Entry.TakenLate && !isShort(Request) &&
+        !onTime(Request, Now)) {
+      // It missed its aim here and is judged like a late one that arrives.
+      Entry.TakenLate = true;
+      Hopeless = !lateFits(Request, Now);
+    }
     if (Hopeless)
       Out.push_back({Request.Ticket, false});
     return Hopeless;
   });
-  fill(Now, Out);
   return Out;
 }
 
 bool slot_queue::cancel(std::uint64_t Ticket) {
-  return std::erase_if(Waiting, [&](const slot_request &Request) {
-           return Request.Ticket == Ticket;
+  return std::erase_if(Waiting, [&](const waiting_request &Entry) {
+           return Entry.Request.Ticket == Ticket;
          }) > 0;
 }
 
--- a/hyssopledge/state/slot_queue.h
+++ b/hyssopledge/state/slot_queue.h
@@ -8,7 +8,9 @@
 ///   still be answered within their aim run first, so that a queue does not
 ///   make every answer late; late ones use what is left.
 /// - Overload that lasts: a request that can't be answered in its time is
-///   refused when it arrives, not when its deadline passes.
+///   refused when it arrives, or when it misses its aim, and not when its
+///   deadline passes. Requests before their aim that will arrive are counted in,
+///   as they go first.
 /// - Chains of calls: the calls that running requests make are shorter than the
 ///   requests that callers send. Short requests go first, since they delay the
 ///   others little and their refusal would waste the run of their parent.
@@ -30,10 +32,16 @@
   void record(const std::string &Kind, milliseconds RunTime);
   /// The mean, or Guess when no run of the kind has ended.
   milliseconds mean(const std::string &Kind, milliseconds Guess) const;
-  milliseconds longest() const; // of the means
+  /// Longest mean of the kinds that make up a notable part of the runs.
+  milliseconds longest() const;
 
 private:
-  std::unordered_map<std::string, double> MeanMs;
+  struct figure {
+    double MeanMs = 0;
+    std::uint64_t Runs = 0;
+  };
+  std::unordered_map<std::string, figure> Kinds;
+  std::uint64_t Runs = 0;
 };
 
 struct slot_request {
@@ -62,8 +70,8 @@
 
 class slot_queue {
 public:
-  /// A late request is taken when what is ahead of it fits into this part of
-  /// its time: the rest covers requests that arrive later and go first.
+  /// A late request is taken when its expected wait fits into this part of its
+  /// time.
   static constexpr double LateFill = 0.5;
   /// Bounds the memory and the time of one decision.
   static constexpr std::size_t MaxWaiting = 512;
@@ -87,10 +95,12 @@
   }
   /// Expected wait of an ordinary request that arrives now.
   milliseconds expectedWait(time_point Now) const;
-  /// Mean run time over all kinds.
-  milliseconds meanRun() const;
 
 private:
+  struct waiting_request {
+    slot_request Request;
+    bool TakenLate = false; // it was known to miss its aim when it was taken
+  };
   struct run {
     std::uint64_t Ticket;
     std::string Kind;
@@ -106,12 +116,18 @@
   bool before(const slot_request &A, const slot_request &B,
               time_point Now) const;
   milliseconds waitFor(const slot_request &Request, time_point Now) const;
+  /// Whether a request that misses its aim can be expected to run in time.
+  bool lateFits(const slot_request &Request, time_point Now) const;
+  /// Part of the slots' time that requests before their aim took lately.
+  double busyOnTime(time_point Now) const;
   void start(const slot_request &Request, time_point Now);
   void fill(time_point Now, std::vector<slot_release> &Out);
 
   std::uint32_t Slots = 0;
   std::vector<run> Running;
-  std::vector<slot_request> Waiting;
+  std::vector<waiting_request> Waiting;
+  double OnTimeMs = 0; // slot time of requests before their aim, decaying
+  time_point OnTimeAt{};
   run_time_table RunTimes;
 };
 
