--- a/hyssopledge/state/placement.cpp
+++ b/hyssopledge/state/placement.cpp
@@ -22,6 +22,8 @@
 constexpr double NearlyBest = 1.1;
 constexpr double NearlyBestMs = 2;
 constexpr double UnknownLatencyMs = 20; // before any answer of the kind
+// A failure rate without new answers loses its meaning.
+constexpr double FailureMemoryMs = 4000;
 
 double toMs(boot_clock::duration Time) {
   return std::chrono::duration<double, std::milli>(Time).count();
@@ -29,6 +31,11 @@
 
 } // namespace
 
+double placement::failureRate(const figures &Figures, time_point Now) {
+  return Figures.FailureRate *
+         std::exp(-toMs(Now - Figures.FailureAt) / FailureMemoryMs);
+}
+
 double placement::waitMs(const figures &Figures, std::uint32_t Slots,
                          time_point Now) const {
   const double Age = toMs(Now - Figures.LoadAt);
@@ -72,7 +79,7 @@
         Seen == Figures.LatencyMs.end() ? Typical : Seen->second;
     const double Ms =
         (waitMs(Figures, Candidate.Slots, Query.Now) + Run) *
-        (1 + FailureCost * Figures.FailureRate);
+        (1 + FailureCost * failureRate(Figures, Query.Now));
     const bool Ejected = Query.Now < Figures.EjectedUntil;
     (Candidate.Reachable && !Ejected ? Usable : LastResort)
         .push_back({&Candidate, Ms});
@@ -128,8 +135,9 @@
   if (Outcome == placement_outcome::Refused)
     return;
   const bool Failed = Outcome == placement_outcome::Failed;
-  Figures.FailureRate += FailureWeight * ((Failed ? 1 : 0) -
-                                          Figures.FailureRate);
+  const double Former = failureRate(Figures, Now);
+  Figures.FailureRate = Former + FailureWeight * ((Failed ? 1 : 0) - Former);
+  Figures.FailureAt = Now;
   ++Figures.Samples;
   if (!Failed) {
     const auto Ms = static_cast<double>(Latency.count());
--- a/hyssopledge/state/placement.h
+++ b/hyssopledge/state/placement.h
@@ -6,7 +6,8 @@
 ///   only while its targets answer in time, then others take the rest.
 /// - One slow target: it is judged by the latency that this daemon saw.
 /// - One target that fails part of its requests: its failure rate counts as
-///   added latency, and above EjectRate it gets only trial requests.
+///   added latency, and above EjectRate it gets nothing for a time. The rate
+///   decays, so that the target is tried again.
 /// - Cold targets: a target without figures is tried at once; its own daemon
 ///   refuses what it can't run.
 #pragma once
@@ -58,7 +59,7 @@
 
 class placement {
 public:
-  /// Above this part of failures a target gets trial requests only.
+  /// Above this part of failures a target gets nothing for a time.
   static constexpr double EjectRate = 0.35;
   static constexpr std::uint32_t LeastSamples = 6; // before an ejection
   static constexpr milliseconds FirstEjection{1000};
@@ -85,13 +86,15 @@
     std::uint32_t SentSince = 0; // since the last report
     load_report Load;
     time_point LoadAt{};
-    double FailureRate = 0;
+    double FailureRate = 0; // at FailureAt; decays
+    time_point FailureAt{};
     std::uint32_t Samples = 0;
     milliseconds Ejection{0};
     time_point EjectedUntil{};
     std::unordered_map<std::string, double> LatencyMs; // by kind
   };
 
+  static double failureRate(const figures &Figures, time_point Now);
   double waitMs(const figures &Figures, std::uint32_t Slots,
                 time_point Now) const;
 
--- /dev/null
+++ b/tests/fleet_records_test.cpp
@@ -0,0 +1,404 @@
+/// \file
+/// Records of members and rollouts, announcements of upstreams, datagrams, and
+/// the decisions of a short rollout.
+#include "hyssopledge/coordination/fleet_directory.h"
+#include "hyssopledge/coordination/peer_message.h"
+#include "hyssopledge/coordination/rollout_pilot.h"
+#include "hyssopledge/coordination/upstream_registry.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <functional>
+#include <random>
+#include <rapidcheck.h>
+
+using namespace hyssopledge::coordination;
+using hyssopledge::state::errc;
+using hyssopledge::state::milliseconds;
+
+namespace {
+
+member_record member(const char *Name, std::uint64_t Incarnation,
+                     std::uint64_t Revision) {
+  member_record Record;
+  Record.Instance = Name;
+  Record.Incarnation = Incarnation;
+  Record.Revision = Revision;
+  Record.CallAddress = "10.0.0.1:" + std::to_string(Revision);
+  return Record;
+}
+
+rollout_record rollout(std::uint64_t Order, std::uint64_t Step,
+                       rollout_state State, std::uint32_t ShareBp) {
+  return {"pages", "v2", Order, Step, State, ShareBp};
+}
+
+announcement announce(const char *Name, std::uint64_t Born,
+                      std::uint64_t Sequence,
+                      upstream_state State = upstream_state::Serving) {
+  announcement A;
+  A.Name = Name;
+  A.Service = "pages";
+  A.Address = "10.0.0.1:80";
+  A.Version = "v1";
+  A.Slots = 12;
+  A.State = State;
+  A.Born = Born;
+  A.Sequence = Sequence;
+  return A;
+}
+
+route_counts counts(std::uint64_t Runs, std::uint64_t Failures,
+                    std::uint64_t MeanMs) {
+  return {{"page", {Runs, Failures, (Runs - Failures) * MeanMs}}};
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// Directory
+//-----------------------------------------------------------------------------
+
+TEST_CASE("records arrive in any order and end the same") {
+  const std::vector<member_record> Members = {
+      member("a", 1, 1), member("a", 1, 2), member("a", 2, 1),
+      member("b", 1, 5), member("b", 1, 4)};
+  const std::vector<rollout_record> Rollouts = {
+      rollout(5, 1, rollout_state::Running, 500),
+      rollout(5, 2, rollout_state::Running, 800),
+      rollout(5, 2, rollout_state::Running, 2000),
+      rollout(5, 3, rollout_state::RolledBack, 0),
+      rollout(5, 4, rollout_state::Running, 4000),
+      rollout(4, 9, rollout_state::Completed, 10'000)};
+  fleet_directory First;
+  for (const auto &Record : Members)
+    First.merge(Record);
+  for (const auto &Record : Rollouts)
+    First.merge(Record);
+  CHECK(First.find("a")->Incarnation == 2);
+  CHECK(First.find("b")->Revision == 5);
+  // A finished state is not taken back by a coordinator that did not know it.
+  CHECK(First.rollout("pages")->State == rollout_state::RolledBack);
+  std::mt19937 Random(11);
+  for (int Round = 0; Round < 100; ++Round) {
+    auto ShuffledMembers = Members;
+    auto ShuffledRollouts = Rollouts;
+    std::shuffle(ShuffledMembers.begin(), ShuffledMembers.end(), Random);
+    std::shuffle(ShuffledRollouts.begin(), ShuffledRollouts.end(), Random);
+    fleet_directory Other;
+    for (const auto &Record : ShuffledMembers)
+      Other.merge(Record);
+    for (const auto &Record : ShuffledRollouts)
+      Other.merge(Record);
+    CHECK(Other.digest() == First.digest());
+  }
+}
+
+TEST_CASE("the version rule follows the rollout") {
+  struct rule_case {
+    rollout_state State;
+    std::uint32_t ShareBp;
+    std::uint32_t Expected;
+  };
+  for (const rule_case &Case : {rule_case{rollout_state::Running, 800, 800},
+                                rule_case{rollout_state::Completed, 0, 10'000},
+                                rule_case{rollout_state::RolledBack, 800, 0}}) {
+    const rollout_record Record = rollout(1, 1, Case.State, Case.ShareBp);
+    CHECK(versionRule(&Record).ShareBp == Case.Expected);
+    CHECK(versionRule(&Record).ToVersion == "v2");
+  }
+  CHECK(versionRule(nullptr).ToVersion.empty());
+}
+
+//-----------------------------------------------------------------------------
+// Announcements
+//-----------------------------------------------------------------------------
+
+TEST_CASE("late, repeated and foreign announcements change nothing") {
+  struct step {
+    announcement Said;
+    bool Leave;
+    registry_effect Effect;
+  };
+  struct registry_case {
+    const char *Name;
+    std::vector<step> Steps;
+    const char *Upstream;
+    upstream_state State;
+  };
+  const auto Serving = upstream_state::Serving;
+  const auto Draining = upstream_state::Draining;
+  const auto Gone = upstream_state::Gone;
+  const registry_case Cases[] = {
+      {"late heartbeat after a drain",
+       {{announce("i-1", 10, 1), false, registry_effect::Changed},
+        {announce("i-1", 10, 3, Draining), false, registry_effect::Changed},
+        {announce("i-1", 10, 2), false, registry_effect::Outdated},
+        {announce("i-1", 10, 4), false, registry_effect::Outdated}},
+       "i-1",
+       Draining},
+      {"leave without a drain, then a late heartbeat",
+       {{announce("i-1", 10, 1), false, registry_effect::Changed},
+        {announce("i-1", 0, 0), true, registry_effect::Changed},
+        {announce("i-1", 10, 2), false, registry_effect::Outdated}},
+       "i-1",
+       Gone},
+      {"heartbeat of an earlier upstream at the address",
+       {{announce("i-2", 20, 1), false, registry_effect::Changed},
+        {announce("i-1", 10, 9), false, registry_effect::Outdated}},
+       "i-2",
+       Serving},
+      {"a new upstream at the address",
+       {{announce("i-1", 10, 5), false, registry_effect::Changed},
+        {announce("i-2", 20, 1), false, registry_effect::Changed}},
+       "i-2",
+       Serving},
+      {"started again under its name",
+       {{announce("i-1", 10, 7), false, registry_effect::Changed},
+        {announce("i-1", 10, 8, Draining), false, registry_effect::Changed},
+        {announce("i-1", 30, 1), false, registry_effect::Changed}},
+       "i-1",
+       Serving},
+      {"leave of another upstream",
+       {{announce("i-2", 20, 1), false, registry_effect::Changed},
+        {announce("i-1", 0, 0), true, registry_effect::None}},
+       "i-2",
+       Serving},
+      {"leave that comes before the first heartbeat",
+       {{announce("i-1", 0, 0), true, registry_effect::None},
+        {announce("i-1", 0, 4), false, registry_effect::Outdated}},
+       "",
+       upstream_state::None},
+  };
+  for (const registry_case &Case : Cases) {
+    CAPTURE(Case.Name);
+    upstream_registry Registry("pages", "10.0.0.1:80");
+    for (const step &Step : Case.Steps) {
+      if (Step.Leave)
+        CHECK(Registry.leave(Step.Said.Name, Step.Said.Born) == Step.Effect);
+      else
+        CHECK(Registry.announce(Step.Said).value() == Step.Effect);
+    }
+    CHECK(Registry.record().Name == Case.Upstream);
+    CHECK(Registry.record().State == Case.State);
+  }
+}
+
+TEST_CASE("a daemon that starts again remembers a drain") {
+  upstream_registry Registry("pages", "10.0.0.1:80");
+  upstream_record Former;
+  Former.Name = "i-1";
+  Former.Born = 10;
+  Former.State = upstream_state::Gone;
+  Registry.recall(Former);
+  CHECK(Registry.announce(announce("i-1", 10, 9)).value() ==
+        registry_effect::Outdated);
+  CHECK(Registry.record().State == upstream_state::None);
+  CHECK(Registry.announce(announce("i-2", 20, 1)).value() ==
+        registry_effect::Changed);
+}
+
+TEST_CASE("an announcement for another place is refused") {
+  upstream_registry Registry("pages", "10.0.0.1:80");
+  announcement OtherService = announce("i-1", 1, 1);
+  OtherService.Service = "bookings";
+  announcement OtherAddress = announce("i-1", 1, 1);
+  OtherAddress.Address = "10.0.0.9:80";
+  for (const announcement &A : {OtherService, OtherAddress}) {
+    const auto Result = Registry.announce(A);
+    REQUIRE(Result.has_error());
+    CHECK(Result.error().is(errc::InvalidMessage));
+    CHECK(Registry.record().Name.empty());
+  }
+}
+
+//-----------------------------------------------------------------------------
+// Datagrams
+//-----------------------------------------------------------------------------
+
+TEST_CASE("datagrams are read as they were written") {
+  peer_message Message;
+  Message.Kind = peer_message_kind::Records;
+  Message.From = "a-1";
+  Message.ControlAddress = "10.0.0.1:7620";
+  for (int I = 0; I < 23; ++I) {
+    member_record Record = member(("member-" + std::to_string(I)).c_str(), 3,
+                                  std::uint64_t(I));
+    Record.Upstream.Name = "i-7f3a91c2";
+    Record.Upstream.State = upstream_state::Draining;
+    Message.Members.push_back(Record);
+  }
+  Message.Rollouts.push_back(rollout(4, 2, rollout_state::Completed, 10'000));
+  fleet_directory Sent;
+  fleet_directory Received;
+  for (const auto &Record : Message.Members)
+    Sent.merge(Record);
+  for (const auto &Record : Message.Rollouts)
+    Sent.merge(Record);
+  for (const peer_message &Part : splitRecords(Message)) {
+    const std::string Datagram = encodePeerMessage(Part);
+    CHECK(Datagram.size() <= MaxDatagramBytes);
+    const auto Read = decodePeerMessage(Datagram);
+    REQUIRE(Read.has_value());
+    CHECK(Read.value().From == "a-1");
+    for (const auto &Record : Read.value().Members)
+      Received.merge(Record);
+    for (const auto &Record : Read.value().Rollouts)
+      Received.merge(Record);
+  }
+  CHECK(Received.digest() == Sent.digest());
+  CHECK(Received.find("member-3")->Upstream.State == upstream_state::Draining);
+}
+
+TEST_CASE("damaged datagrams are refused and crash nothing") {
+  peer_message Message;
+  Message.Kind = peer_message_kind::Evidence;
+  Message.From = "a-1";
+  Message.Counts = counts(10, 2, 40);
+  const std::string Whole = encodePeerMessage(Message);
+  CHECK(rc::check("cut and changed bytes", [&] {
+    std::string Damaged = Whole;
+    const auto Length = *rc::gen::inRange<std::size_t>(0, Whole.size() + 1);
+    Damaged.resize(Length);
+    if (!Damaged.empty()) {
+      const auto At = *rc::gen::inRange<std::size_t>(0, Damaged.size());
+      Damaged[At] = *rc::gen::arbitrary<char>();
+    }
+    (void)decodePeerMessage(Damaged);
+    (void)decodeMember(Damaged);
+  }));
+  CHECK(decodePeerMessage("").has_error());
+  CHECK(decodePeerMessage("\x93\x63\xa1\x61\xa1\x62").has_error());
+}
+
+//-----------------------------------------------------------------------------
+// Rollouts
+//-----------------------------------------------------------------------------
+
+TEST_CASE("the share follows the evidence") {
+  struct pilot_case {
+    const char *Name;
+    int ElapsedMs;
+    int SinceStepMs;
+    std::uint32_t ShareBp;
+    std::uint32_t NewSlots;
+    bool Cold;
+    route_counts New;
+    route_counts Old;
+    rollout_state State;
+    std::uint32_t LeastBp;
+    std::uint32_t MostBp;
+  };
+  const auto Running = rollout_state::Running;
+  const pilot_case Cases[] = {
+      {"just ordered", 100, 100, 0, 24, true, {}, {}, Running, 1, 1000},
+      {"no upstream yet", 100, 100, 0, 0, false, {}, {}, Running, 0, 0},
+      {"unproven half way", 8000, 3000, 800, 24, false, counts(5, 0, 100),
+       counts(500, 2, 100), Running, 1, 1000},
+      {"proven half way", 8000, 3000, 800, 24, false, counts(100, 0, 100),
+       counts(500, 2, 100), Running, 2000, 6000},
+      {"whole share", 11'000, 1000, 6500, 24, false, counts(300, 1, 100),
+       counts(900, 2, 100), Running, 10'000, 10'000},
+      {"done", 13'500, 2500, 10'000, 24, false, counts(900, 2, 100),
+       counts(900, 2, 100), rollout_state::Completed, 10'000, 10'000},
+      {"not done before the whole share has lasted", 13'500, 300, 10'000, 24,
+       false, counts(900, 2, 100), counts(900, 2, 100), Running, 10'000,
+       10'000},
+      {"half of the answers fail", 3000, 2000, 500, 24, false,
+       counts(10, 5, 100), counts(200, 1, 100), rollout_state::RolledBack, 0,
+       0},
+      {"eight times as slow", 3000, 2000, 500, 24, false, counts(12, 0, 800),
+       counts(200, 1, 100), rollout_state::RolledBack, 0, 0},
+      {"slow while it is cold", 3000, 2000, 500, 24, true, counts(12, 0, 220),
+       counts(200, 1, 100), Running, 1, 1000},
+      {"both versions fail alike", 3000, 2000, 500, 24, false,
+       counts(40, 8, 100), counts(400, 80, 100), Running, 1, 1000},
+      {"a few failures", 3000, 2000, 500, 24, false, counts(40, 2, 100),
+       counts(400, 4, 100), Running, 1, 1000},
+      {"bad at the whole share", 12'000, 500, 10'000, 24, false,
+       counts(400, 90, 100), counts(900, 2, 100), rollout_state::RolledBack, 0,
+       0},
+  };
+  for (const pilot_case &Case : Cases) {
+    CAPTURE(Case.Name);
+    const pilot_input Input{milliseconds(Case.ElapsedMs),
+                            milliseconds(16'000),
+                            milliseconds(Case.SinceStepMs),
+                            Case.ShareBp,
+                            Case.NewSlots,
+                            24,
+                            Case.Cold,
+                            Case.New,
+                            Case.Old};
+    const pilot_decision Decision = decideShare(Input);
+    CHECK(Decision.State == Case.State);
+    CHECK(Decision.ShareBp >= Case.LeastBp);
+    CHECK(Decision.ShareBp <= Case.MostBp);
+  }
+}
+
+TEST_CASE("a bad version keeps within its part of the requests") {
+  // 200 requests a second for 16 s; the version fails half of them from the
+  // given time on. Evidence reaches the coordinator after 300 ms.
+  struct bad_case {
+    const char *Name;
+    int BadFromMs;
+    std::uint32_t BadFromBp; // or from this share on
+  };
+  for (const bad_case &Case : {bad_case{"at once", 0, 0},
+                               bad_case{"after 3.4 s", 3400, 0},
+                               bad_case{"under load", 0, 4000}}) {
+    CAPTURE(Case.Name);
+    constexpr int PerSecond = 200;
+    constexpr int DurationMs = 16'000;
+    std::uint32_t ShareBp = 0;
+    std::vector<std::pair<int, bool>> NewRuns; // time, failed
+    std::vector<int> OldRuns;
+    int SteppedAt = 0;
+    int BackAt = -1;
+    double Credit = 0;
+    for (int Ms = 0; Ms < DurationMs && BackAt < 0; Ms += 5) {
+      Credit += ShareBp / 10'000.0;
+      if (Credit >= 1) {
+        Credit -= 1;
+        const bool Bad = Ms >= Case.BadFromMs && ShareBp >= Case.BadFromBp;
+        NewRuns.emplace_back(Ms, Bad && NewRuns.size() % 2 == 0);
+      } else {
+        OldRuns.push_back(Ms);
+      }
+      if (Ms % 100 != 0)
+        continue;
+      run_count New;
+      for (const auto &[At, Failed] : NewRuns)
+        if (At + 300 <= Ms) {
+          ++New.Runs;
+          New.Failures += Failed ? 1 : 0;
+        }
+      New.TotalMs = (New.Runs - New.Failures) * 100;
+      run_count Old;
+      for (const int At : OldRuns)
+        Old.Runs += At + 300 <= Ms ? 1 : 0;
+      Old.TotalMs = Old.Runs * 100;
+      const route_counts NewCounts{{"page", New}};
+      const route_counts OldCounts{{"page", Old}};
+      const pilot_input Input{milliseconds(Ms),
+                              milliseconds(DurationMs),
+                              milliseconds(Ms - SteppedAt),
+                              ShareBp,
+                              24,
+                              24,
+                              false,
+                              NewCounts,
+                              OldCounts};
+      const pilot_decision Decision = decideShare(Input);
+      if (Decision.ShareBp != ShareBp)
+        SteppedAt = Ms;
+      ShareBp = Decision.ShareBp;
+      if (Decision.State == rollout_state::RolledBack)
+        BackAt = Ms;
+      CHECK(Decision.State != rollout_state::Completed);
+    }
+    CHECK(BackAt >= 0);
+    CHECK(NewRuns.size() <= PerSecond * DurationMs / 1000 / 10 + 50);
+  }
+}
--- /dev/null
+++ b/tests/slot_queue_test.cpp
@@ -0,0 +1,281 @@
+/// \file
+/// Replays load patterns on slot_queue: what it answers in time, what it refuses
+/// and when.
+#include "hyssopledge/state/slot_queue.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace hyssopledge::state;
+
+namespace {
+
+const time_point Start{std::chrono::hours(1)};
+
+slot_request request(std::uint64_t Ticket, const char *Kind, int AimMs,
+                     int DeadlineMs, time_point Now = Start) {
+  slot_request Request;
+  Request.Ticket = Ticket;
+  Request.Kind = Kind;
+  Request.AimAt = Now + milliseconds(AimMs);
+  Request.Deadline = Now + milliseconds(DeadlineMs);
+  return Request;
+}
+
+/// One kind of request in a replayed pattern.
+struct load_kind {
+  const char *Name;
+  double PerSecond;
+  int RunMs;
+  int AimMs;
+  int DeadlineMs;
+  std::uint32_t Priority = 0;
+};
+
+struct load_result {
+  int Offered = 0;
+  int InAim = 0;
+  int Late = 0;
+  int Refused = 0;
+  int HeldLong = 0; // refused after more than half of the deadline
+};
+
+enum class order { SlotQueue, FirstComeFirstServed };
+
+/// Runs the pattern for the time on one upstream, in steps of 1 ms. The
+/// baseline is a queue without refusals but at the deadline.
+std::map<std::string, load_result> replay(const std::vector<load_kind> &Kinds,
+                                          std::uint32_t Slots, int DurationMs,
+                                          order Order) {
+  slot_queue Queue;
+  Queue.setSlots(Slots);
+  std::mt19937_64 Random(7);
+  std::uniform_real_distribution<double> Draw(0, 1);
+  struct flying {
+    const load_kind *Kind;
+    time_point Arrived;
+    time_point Ends{};
+    bool Running = false;
+  };
+  std::map<std::uint64_t, flying> Flying;
+  std::vector<std::uint64_t> Line; // of the baseline
+  std::map<std::string, load_result> Results;
+  std::uint64_t Ticket = 0;
+  std::uint32_t Busy = 0;
+  const auto Start1 = [&](std::uint64_t T, time_point Now) {
+    flying &F = Flying.at(T);
+    F.Running = true;
+    F.Ends = Now + milliseconds(F.Kind->RunMs);
+    ++Busy;
+  };
+  const auto Refuse = [&](std::uint64_t T, time_point Now) {
+    const flying &F = Flying.at(T);
+    load_result &R = Results[F.Kind->Name];
+    ++R.Refused;
+    if (Now - F.Arrived > milliseconds(F.Kind->DeadlineMs) / 2)
+      ++R.HeldLong;
+    Flying.erase(T);
+  };
+  const auto Apply = [&](const std::vector<slot_release> &Releases,
+                         time_point Now) {
+    for (const slot_release &Release : Releases)
+      Release.Run ? Start1(Release.Ticket, Now) : Refuse(Release.Ticket, Now);
+  };
+  for (int Ms = 0; Ms < DurationMs; ++Ms) {
+    const time_point Now = Start + milliseconds(Ms);
+    std::vector<std::uint64_t> Ended;
+    for (const auto &[T, F] : Flying)
+      if (F.Running && F.Ends <= Now)
+        Ended.push_back(T);
+    for (const std::uint64_t T : Ended) {
+      const flying F = Flying.at(T);
+      const auto Took = Now - F.Arrived;
+      load_result &R = Results[F.Kind->Name];
+      if (Took <= milliseconds(F.Kind->AimMs))
+        ++R.InAim;
+      else if (Took <= milliseconds(F.Kind->DeadlineMs))
+        ++R.Late;
+      else
+        ++R.Refused; // nobody waits for it any more
+      Flying.erase(T);
+      --Busy;
+      if (Order == order::SlotQueue)
+        Apply(Queue.leave(T, milliseconds(F.Kind->RunMs), Now), Now);
+    }
+    for (const load_kind &Kind : Kinds) {
+      if (Draw(Random) >= Kind.PerSecond / 1000)
+        continue;
+      slot_request R =
+          request(++Ticket, Kind.Name, Kind.AimMs, Kind.DeadlineMs, Now);
+      R.Priority = Kind.Priority;
+      Flying[Ticket] = {&Kind, Now};
+      ++Results[Kind.Name].Offered;
+      if (Order == order::FirstComeFirstServed) {
+        Line.push_back(Ticket);
+        continue;
+      }
+      const slot_decision Decision = Queue.enter(R, Now);
+      if (Decision.Verdict == slot_verdict::Run)
+        Start1(Ticket, Now);
+      else if (Decision.Verdict == slot_verdict::Refused)
+        Refuse(Ticket, Now);
+    }
+    if (Order == order::SlotQueue) {
+      if (Ms % 20 == 0)
+        Apply(Queue.expire(Now), Now);
+      continue;
+    }
+    while (Busy < Slots && !Line.empty()) {
+      const std::uint64_t T = Line.front();
+      Line.erase(Line.begin());
+      const flying &F = Flying.at(T);
+      if (Now > F.Arrived + milliseconds(F.Kind->DeadlineMs))
+        Refuse(T, Now);
+      else
+        Start1(T, Now);
+    }
+  }
+  return Results;
+}
+
+int served(const load_result &R) { return R.InAim + R.Late; }
+
+} // namespace
+
+TEST_CASE("load patterns are answered better than first come, first served") {
+  struct pattern {
+    const char *Name;
+    std::vector<load_kind> Kinds;
+    double LeastInAim;  // part of what the slots can run
+    double MostHeldLong; // part of the refusals
+  };
+  // 12 slots: 120 requests a second of 100 ms fill them.
+  const pattern Patterns[] = {
+      {"overload that lasts, 1.7 x the slots",
+       {{"page", 204, 100, 250, 500}},
+       0.8,
+       0.05},
+      {"overload with long deadlines",
+       {{"page", 204, 100, 500, 3000}},
+       0.8,
+       0.05},
+      {"chains: short calls among pages",
+       {{"page", 150, 100, 250, 500}, {"lookup", 200, 15, 60, 200}},
+       0.7,
+       0.1},
+      {"two ranks",
+       {{"booking", 60, 100, 300, 600, 1}, {"page", 140, 100, 300, 600, 2}},
+       0.75,
+       0.05},
+  };
+  for (const pattern &Pattern : Patterns) {
+    CAPTURE(Pattern.Name);
+    constexpr int DurationMs = 20'000;
+    auto Ours = replay(Pattern.Kinds, 12, DurationMs, order::SlotQueue);
+    auto Plain =
+        replay(Pattern.Kinds, 12, DurationMs, order::FirstComeFirstServed);
+    int OurAim = 0;
+    int PlainAim = 0;
+    int Refused = 0;
+    int HeldLong = 0;
+    double RunMs = 0;
+    for (const load_kind &Kind : Pattern.Kinds) {
+      OurAim += Ours[Kind.Name].InAim;
+      PlainAim += Plain[Kind.Name].InAim;
+      Refused += Ours[Kind.Name].Refused;
+      HeldLong += Ours[Kind.Name].HeldLong;
+      RunMs += double(Ours[Kind.Name].InAim) * Kind.RunMs;
+    }
+    MESSAGE(std::string(Pattern.Name), ": in aim ", OurAim, ", first come ", PlainAim,
+            ", refused ", Refused, ", held long ", HeldLong);
+    CHECK(OurAim > PlainAim);
+    CHECK(RunMs >= Pattern.LeastInAim * 12 * DurationMs);
+    CHECK(HeldLong <= Pattern.MostHeldLong * Refused);
+  }
+}
+
+TEST_CASE("short calls of running requests are not refused under overload") {
+  const auto Results =
+      replay({{"page", 200, 100, 250, 500}, {"lookup", 200, 15, 60, 200}}, 12,
+             20'000, order::SlotQueue);
+  const load_result &Lookup = Results.at("lookup");
+  CHECK(served(Lookup) >= Lookup.Offered * 95 / 100);
+}
+
+TEST_CASE("the more urgent rank is served at least as often") {
+  const auto Results = replay(
+      {{"booking", 60, 100, 300, 600, 1}, {"page", 140, 100, 300, 600, 2}}, 12,
+      20'000, order::SlotQueue);
+  const load_result &Booking = Results.at("booking");
+  const load_result &Page = Results.at("page");
+  CHECK(served(Booking) * Page.Offered >= served(Page) * Booking.Offered);
+}
+
+TEST_CASE("a request is taken or refused when it arrives") {
+  struct entry_case {
+    const char *Name;
+    std::uint32_t Slots;
+    int Running; // of 100 ms each
+    slot_request Request;
+    slot_verdict Expected;
+    const char *Reason;
+  };
+  slot_request OnlyOnTime = request(99, "page", 110, 1000);
+  OnlyOnTime.MayBeLate = false;
+  const entry_case Cases[] = {
+      {"free slot", 2, 1, request(99, "page", 200, 500), slot_verdict::Run, ""},
+      {"all slots busy", 2, 2, request(99, "page", 300, 500),
+       slot_verdict::Wait, ""},
+      {"no slots", 0, 0, request(99, "page", 300, 500), slot_verdict::Refused,
+       "full"},
+      {"less time than a run", 2, 0, request(99, "page", 300, 60),
+       slot_verdict::Refused, "deadline"},
+      {"would be late and must not", 2, 2, OnlyOnTime, slot_verdict::Refused,
+       "late"},
+  };
+  for (const entry_case &Case : Cases) {
+    CAPTURE(Case.Name);
+    slot_queue Queue;
+    Queue.setSlots(12);
+    // The mean of the kind is known.
+    Queue.enter(request(1, "page", 1000, 2000), Start);
+    Queue.leave(1, milliseconds(100), Start);
+    Queue.setSlots(Case.Slots);
+    for (int I = 0; I < Case.Running; ++I)
+      REQUIRE(Queue.enter(request(10 + I, "page", 1000, 2000), Start).Verdict ==
+              slot_verdict::Run);
+    const slot_decision Decision = Queue.enter(Case.Request, Start);
+    CHECK(Decision.Verdict == Case.Expected);
+    CHECK(std::string(Decision.Reason) == Case.Reason);
+  }
+}
+
+TEST_CASE("waiting requests that can't end in time are refused at once") {
+  slot_queue Queue;
+  Queue.setSlots(1);
+  Queue.enter(request(1, "page", 1000, 5000), Start);
+  Queue.leave(1, milliseconds(100), Start);
+  Queue.enter(request(2, "page", 1000, 5000), Start);
+  REQUIRE(Queue.enter(request(3, "page", 350, 400), Start).Verdict ==
+          slot_verdict::Wait);
+  CHECK(Queue.expire(Start + milliseconds(200)).empty());
+  const auto Releases = Queue.expire(Start + milliseconds(310));
+  REQUIRE(Releases.size() == 1);
+  CHECK(Releases[0].Ticket == 3);
+  CHECK_FALSE(Releases[0].Run);
+  CHECK(Queue.waiting() == 0);
+}
+
+TEST_CASE("a cancelled request leaves the queue") {
+  slot_queue Queue;
+  Queue.setSlots(1);
+  Queue.enter(request(1, "page", 1000, 5000), Start);
+  Queue.enter(request(2, "page", 1000, 5000), Start);
+  CHECK(Queue.cancel(2));
+  CHECK_FALSE(Queue.cancel(2));
+  CHECK(Queue.leave(1, milliseconds(10), Start).empty());
+}
