--- a/hyssopledge/coordination/fleet_agent.cpp
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -104,7 +104,9 @@
   bool Changed = false;
   for (const member_record &Record : Records) {
     if (Record.Instance == Options.Instance) {
-      if (!FormerUpstream && Record.Incarnation != Self.Incarnation)
+      if (Record.Incarnation != Self.Incarnation &&
+          Record.Upstream.State != upstream_state::None &&
+          (!FormerUpstream || FormerUpstream->Born <= Record.Upstream.Born))
         FormerUpstream = Record.Upstream;
       // The time of day went back, or another process has this name: the
       // others would ignore this daemon's records.
@@ -114,6 +116,16 @@
       }
       continue;
     }
+    const member_record *Known = Directory.find(Record.Instance);
+    const bool Restarted = Known != nullptr &&
+                           Known->Incarnation < Record.Incarnation &&
+                           Record.Upstream.State == upstream_state::None;
+    if (Restarted && Known->Upstream.State != upstream_state::None) {
+      // It may not know that its upstream has left.
+      peer_message Former = message(peer_message_kind::Records);
+      Former.Members.push_back(*Known);
+      sendTo(Record.ControlAddress, Former);
+    }
     if (Directory.merge(Record))
       Changed = true;
   }
@@ -121,35 +133,15 @@
     Hooks.OnDirectory();
 }
 
+/// Puts this daemon's record under a lease. A record of an earlier start is read
+/// before it is replaced, since it may tell of an upstream that has left.
 void fleet_agent::registerSelf() {
   NextRegister = Timers.now() + std::chrono::seconds(2);
-  const auto Put = [this, Alive = Alive](std::int64_t Granted) {
-    platform_txn Txn;
-    Txn.Puts.push_back({Dialect.membersPrefix() + Options.Instance,
-                        encodeMember(Self), Granted});
-    Platform.commit(
-        std::move(Txn),
-        [this, Alive](const state::result<platform_txn_result> &Result) {
-          if (!*Alive)
-            return;
-          if (Result.has_error()) {
-            // The lease may have ended.
-            if (Result.error().is(state::errc::NotFound))
-              Lease = 0;
-            log("register_failed", "reason=\"" + Result.error().text() + "\"");
-            return;
-          }
-          Registered = true;
-          NextRegister = Timers.now() + Pace.MemberRenewal;
-          if (!MembersRead)
-            readMembers();
-        });
-  };
   if (Lease != 0)
-    return Put(Lease);
+    return putSelf();
   Platform.grantLease(
       Pace.MemberLease,
-      [this, Alive = Alive, Put](const state::result<std::int64_t> &Granted) {
+      [this, Alive = Alive](const state::result<std::int64_t> &Granted) {
         if (!*Alive)
           return;
         if (Granted.has_error()) {
@@ -157,10 +149,53 @@
           return;
         }
         Lease = Granted.value();
-        Put(Lease);
+        putSelf();
       });
 }
 
+void fleet_agent::putSelf() {
+  const std::string Key = Dialect.membersPrefix() + Options.Instance;
+  platform_txn Txn;
+  if (!FormerRead)
+    Txn.Conditions.push_back({Key, 0});
+  Txn.Puts.push_back({Key, encodeMember(Self), Lease});
+  Platform.commit(
+      std::move(Txn),
+      [this, Alive = Alive,
+       Key](const state::result<platform_txn_result> &Result) {
+        if (!*Alive)
+          return;
+        if (Result.has_error()) {
+          // The lease may have ended.
+          if (Result.error().is(state::errc::NotFound))
+            Lease = 0;
+          log("register_failed", "reason=\"" + Result.error().text() + "\"");
+          return;
+        }
+        if (!Result.value().Succeeded)
+          return readFormer(Key);
+        FormerRead = true;
+        Registered = true;
+        NextRegister = Timers.now() + Pace.MemberRenewal;
+        if (!MembersRead)
+          readMembers();
+      });
+}
+
+void fleet_agent::readFormer(const std::string &Key) {
+  Platform.get(Key, false,
+               [this, Alive = Alive](const state::result<platform_read> &Read) {
+                 if (!*Alive || Read.has_error())
+                   return;
+                 FormerRead = true;
+                 for (const platform_entry &Entry : Read.value().Entries)
+                   if (auto Record = decodeMember(Entry.Value);
+                       Record.has_value())
+                     mergeMembers({Record.value()});
+                 putSelf();
+               });
+}
+
 void fleet_agent::renewRegistration() {
   NextRegister = Timers.now() + std::chrono::seconds(5);
   Platform.keepAlive(
@@ -238,8 +273,11 @@
   case peer_message_kind::Records: {
     mergeMembers(Message.Members);
     bool Changed = false;
-    for (const rollout_record &Record : Message.Rollouts)
+    for (const rollout_record &Record : Message.Rollouts) {
       Changed = Directory.merge(Record) || Changed;
+      // Kept for the case that this daemon becomes the coordinator.
+      FirstSeen.emplace(std::make_pair(Record.Service, Record.Order), Now);
+    }
     if (Changed && Hooks.OnDirectory)
       Hooks.OnDirectory();
     return;
@@ -535,7 +573,12 @@
   Followed = {};
   Followed.Order = Order.value();
   Followed.Revision = Revision;
-  Followed.SeenAt = Followed.SteppedAt = Timers.now();
+  Followed.SteppedAt = Timers.now();
+  Followed.SeenAt =
+      FirstSeen
+          .emplace(std::make_pair(Followed.Order.Service, Revision),
+                   Timers.now())
+          .first->second;
   Followed.StatusRevision = StatusRevision;
   log("order_seen", "service=" + Followed.Order.Service +
                         " to_version=" + Followed.Order.ToVersion +
--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -143,6 +143,8 @@
   void sendRecords(const std::string &ControlAddress);
   void mergeMembers(const std::vector<member_record> &Records);
   void registerSelf();
+  void putSelf();
+  void readFormer(const std::string &Key);
   void renewRegistration();
   void readMembers();
   peer_message message(peer_message_kind Kind) const;
@@ -197,6 +199,7 @@
   bool Following = false; // reads or watches the operators' input
   bool PlatformReached = false;
   bool Registered = false;
+  bool FormerRead = false; // the platform's record of an earlier start
   bool MembersRead = false;
   bool Relay = false;
   std::int64_t Lease = 0;
@@ -215,6 +218,8 @@
   bool ReadingInput = false;
 
   std::map<std::string, followed_order> Orders; // by service
+  /// When each order was heard of first, by service and revision.
+  std::map<std::pair<std::string, std::uint64_t>, state::time_point> FirstSeen;
   std::map<std::string, evidence_row> Evidence; // by instance
   std::map<std::string, std::uint64_t> StatusRevisions; // by service
   bool StatusesRead = false;
--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -171,7 +171,7 @@
        upstream_state::None},
   };
   for (const registry_case &Case : Cases) {
-    CAPTURE(Case.Name);
+    CAPTURE(std::string(Case.Name));
     upstream_registry Registry("pages", "10.0.0.1:80");
     for (const step &Step : Case.Steps) {
       if (Step.Leave)
@@ -320,7 +320,7 @@
        0},
   };
   for (const pilot_case &Case : Cases) {
-    CAPTURE(Case.Name);
+    CAPTURE(std::string(Case.Name));
     const pilot_input Input{milliseconds(Case.ElapsedMs),
                             milliseconds(16'000),
                             milliseconds(Case.SinceStepMs),
@@ -348,7 +348,7 @@
   for (const bad_case &Case : {bad_case{"at once", 0, 0},
                                bad_case{"after 3.4 s", 3400, 0},
                                bad_case{"under load", 0, 4000}}) {
-    CAPTURE(Case.Name);
+    CAPTURE(std::string(Case.Name));
     constexpr int PerSecond = 200;
     constexpr int DurationMs = 16'000;
     std::uint32_t ShareBp = 0;
--- a/tests/mesh_state_test.cpp
+++ b/tests/mesh_state_test.cpp
@@ -131,7 +131,7 @@
   for (const budget_case &Case : {budget_case{"small", 4, 50},
                                   budget_case{"usual", 16, 20},
                                   budget_case{"idle", 58, 0}}) {
-    CAPTURE(Case.Name);
+    CAPTURE(std::string(Case.Name));
     retry_allowance_settings Settings;
     std::vector<retry_allowance> Daemons(std::size_t(Case.Daemons),
                                          retry_allowance(Settings));
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -97,7 +97,7 @@
        "near", "far-1"},
   };
   for (const choice_case &Case : Cases) {
-    CAPTURE(Case.Name);
+    CAPTURE(std::string(Case.Name));
     placement Placement;
     Case.Before(Placement);
     auto Count = choices(Placement, threeTargets(), query());
--- a/tests/slot_queue_test.cpp
+++ b/tests/slot_queue_test.cpp
@@ -173,7 +173,7 @@
        0.05},
   };
   for (const pattern &Pattern : Patterns) {
-    CAPTURE(Pattern.Name);
+    CAPTURE(std::string(Pattern.Name));
     constexpr int DurationMs = 20'000;
     auto Ours = replay(Pattern.Kinds, 12, DurationMs, order::SlotQueue);
     auto Plain =
@@ -238,7 +238,7 @@
        "late"},
   };
   for (const entry_case &Case : Cases) {
-    CAPTURE(Case.Name);
+    CAPTURE(std::string(Case.Name));
     slot_queue Queue;
     Queue.setSlots(12);
     // The mean of the kind is known.
