--- /dev/null
+++ b/tests/platform_codec_test.cpp
@@ -0,0 +1,311 @@
+/// \file
+/// Messages of the users' platform: what is read, what is refused.
+#include "platform/boot_settings.h"
+#include "platform/call_fields.h"
+#include "platform/instance_codec.h"
+#include "platform/operator_codec.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+#include <string>
+
+using namespace hyssopledge;
+using nlohmann::json;
+using state::errc;
+using std::chrono::milliseconds;
+
+namespace {
+
+json goodSettings() {
+  return json::parse(R"({
+    "nodeName": "sidecar-bci-a-1", "zone": "bci-a", "ip": "10.1.0.8",
+    "listen": {"inbound": "10.1.0.8:8300", "outbound": "10.1.0.8:8304",
+               "ready": "10.1.0.8:8302", "control": "10.1.0.8:8306"},
+    "internalPortRange": [7620, 7635], "limits": {"memoryMb": 260},
+    "bounds": ["drainMs=2500", "retryBudgetRatio=0.3", "graceS=7",
+               "retryBudgetSlack=158", "budgetWindowS=12", "other=x", 7],
+    "appAddress": "10.1.0.8:8301", "service": "huvo11a",
+    "platform": {"address": "10.200.1.7:8309"}, "unknown": [1, 2]})");
+}
+
+json goodDocument() {
+  return json::parse(R"({
+    "version": 7, "baseVersion": 5,
+    "services": [{"name": "pages", "healthPath": "/health",
+                  "maxConnections": 130}, {"name": "bookings"}],
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000,
+               "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+    "virtualHosts": [
+      {"host": "shop.example", "paths": [
+        {"name": "r-1", "prefix": "/a/", "kind": "unsafe", "timeoutMs": 2000,
+         "sloLatencyMs": 600, "priority": 1, "service": "bookings",
+         "maxAttempts": 2},
+        {"name": "r-2", "prefix": "/b/", "kind": "safe", "timeoutMs": 1500,
+         "trafficSplit": [{"service": "pages", "weight": 90},
+                          {"service": "bookings", "weight": 10}]}]}]})");
+}
+
+transport::http_request request(const char *Method, const char *Target,
+                                const std::string &Body = {}) {
+  transport::http_request Request;
+  Request.method_string(Method);
+  Request.target(Target);
+  Request.body() = Body;
+  return Request;
+}
+
+json goodBeat() {
+  return json::parse(R"({"service": "pages", "address": "10.1.0.8:8301",
+    "zone": "bci-a", "version": "v1", "slots": 12, "state": "ready",
+    "coldRemainingMs": 900, "sequence": 4, "born": 1790000000000})");
+}
+
+/// The value with the part at the pointer replaced, or removed when it is null.
+json changed(json Value, const char *Pointer, const json &Part) {
+  const json::json_pointer At(Pointer);
+  if (Part.is_null())
+    Value.at(At.parent_pointer()).erase(At.back());
+  else
+    Value[At] = Part;
+  return Value;
+}
+
+struct change_case {
+  const char *Pointer;
+  json Part;
+  const char *Text; // part of the refusal
+};
+
+constexpr char BeatPath[] = "/api/rpc?call=instances.heartbeat&of=i-7f3a91c2";
+
+} // namespace
+
+TEST_CASE("settings are read") {
+  const auto Read = platform::readBootSettings(goodSettings().dump());
+  REQUIRE(Read.has_value());
+  const protocol::mesh_settings &S = Read.value();
+  CHECK(S.Instance == "sidecar-bci-a-1");
+  CHECK(S.DataCentre == "bci-a");
+  CHECK(S.EntryAddress == "10.1.0.8:8304");
+  CHECK(S.HopAddress == "10.1.0.8:8300");
+  CHECK(S.UpstreamControlAddress == "10.1.0.8:8306");
+  CHECK(S.PeerAddress == "10.1.0.8:7620");
+  CHECK(S.MetricsAddress == "10.1.0.8:7621");
+  CHECK(S.DrainTime == milliseconds(2500));
+  CHECK(S.Grace == std::chrono::seconds(7));
+  CHECK(S.RetryWindow == std::chrono::seconds(12));
+  CHECK(S.RetryRatio == doctest::Approx(0.3));
+  CHECK(S.RetrySlack == doctest::Approx(158));
+}
+
+TEST_CASE("wrong settings are refused with the field") {
+  const change_case Cases[] = {
+      {"/nodeName", nullptr, "nodeName"},
+      {"/nodeName", 5, "nodeName"},
+      {"/listen", nullptr, "listen"},
+      {"/listen/outbound", nullptr, "outbound"},
+      {"/internalPortRange", json::array({7620}), "internalPortRange"},
+      {"/internalPortRange", json::array({7620, 7620}), "internalPortRange"},
+      {"/internalPortRange", json::array({"a", "b"}), "internalPortRange"},
+      {"/platform", nullptr, "platform"},
+      {"/platform/address", 1, "address"},
+      {"/bounds", "x", "bounds"},
+  };
+  for (const change_case &Case : Cases) {
+    CAPTURE(std::string(Case.Pointer));
+    const auto Read = platform::readBootSettings(
+        changed(goodSettings(), Case.Pointer, Case.Part).dump());
+    REQUIRE(Read.has_error());
+    CHECK(Read.error().is(errc::InvalidSettings));
+    CHECK(Read.error().text().find(Case.Text) != std::string::npos);
+  }
+  CHECK(platform::readBootSettings("").has_error());
+  CHECK(platform::readBootSettings("[1]").has_error());
+}
+
+TEST_CASE("a document is read") {
+  const platform::operator_codec Codec;
+  const auto Read = Codec.readDocument(goodDocument().dump());
+  REQUIRE(Read.has_value());
+  const auto &Table = *Read.value();
+  CHECK(Table.version() == 7);
+  const state::route_spec *Booking = Table.match("shop.example", "/a/1");
+  REQUIRE(Booking != nullptr);
+  CHECK_FALSE(Booking->Idempotent);
+  CHECK(Booking->Timeout == milliseconds(2000));
+  CHECK(Booking->Aim == milliseconds(600));
+  CHECK(Booking->Priority == 1);
+  CHECK(Booking->MaxAttempts == 2);
+  const state::route_spec *Page = Table.match("shop.example", "/b/1");
+  REQUIRE(Page != nullptr);
+  CHECK(Page->Idempotent);
+  CHECK(Page->MaxAttempts == 1);
+  REQUIRE(Page->Split.size() == 2);
+  CHECK(Page->Split[1].Weight == doctest::Approx(10));
+  CHECK(Table.source().Limits.BodyBytes == 1000);
+  CHECK(Table.service("pages")->Limits.Connections == 130);
+}
+
+TEST_CASE("a kind of request that is not known is never repeated") {
+  const platform::operator_codec Codec;
+  for (const char *Kind : {"keyed", "stream", "", "SAFE"}) {
+    const auto Read = Codec.readDocument(
+        changed(goodDocument(), "/virtualHosts/0/paths/1/kind", Kind).dump());
+    REQUIRE(Read.has_value());
+    CHECK_FALSE(Read.value()->match("shop.example", "/b/1")->Idempotent);
+  }
+}
+
+TEST_CASE("wrong documents are refused with the field") {
+  const platform::operator_codec Codec;
+  const change_case Cases[] = {
+      {"/version", nullptr, "version"},
+      {"/version", "7", "version"},
+      {"/version", -7, "version"},
+      {"/services", nullptr, "services"},
+      {"/services/0/name", 4, "name"},
+      {"/virtualHosts", json::object(), "virtualHosts"},
+      {"/virtualHosts/0/host", nullptr, "host"},
+      {"/virtualHosts/0/paths/0/prefix", nullptr, "prefix"},
+      {"/virtualHosts/0/paths/0/prefix", "a", "slash"},
+      {"/virtualHosts/0/paths/0/timeoutMs", "2s", "timeoutMs"},
+      {"/virtualHosts/0/paths/0/service", "nobody", "unknown service"},
+      {"/virtualHosts/0/paths/1/trafficSplit/0/weight", "x", "weight"},
+      {"/virtualHosts/0/paths/1/trafficSplit", 3, "trafficSplit"},
+      {"/limits", 3, "limits"},
+      {"/limits/maxBodyBytes", "x", "maxBodyBytes"},
+  };
+  for (const change_case &Case : Cases) {
+    CAPTURE(std::string(Case.Pointer));
+    const auto Read = Codec.readDocument(
+        changed(goodDocument(), Case.Pointer, Case.Part).dump());
+    REQUIRE(Read.has_error());
+    CHECK(Read.error().is(errc::InvalidDocument));
+    CHECK(Read.error().text().find(Case.Text) != std::string::npos);
+  }
+}
+
+TEST_CASE("rollout orders and states") {
+  const platform::operator_codec Codec;
+  const auto Order = Codec.readOrder(
+      R"({"service":"pages","toVersion":"v2","durationS":12.5})");
+  REQUIRE(Order.has_value());
+  CHECK(Order.value().Duration == milliseconds(12'500));
+  for (const char *Text :
+       {"", "{}", R"({"service":"pages","toVersion":"v2"})",
+        R"({"service":"pages","toVersion":"v2","durationS":0})",
+        R"({"service":"","toVersion":"v2","durationS":3})",
+        R"({"service":"pages","toVersion":2,"durationS":3})"})
+    CHECK(Codec.readOrder(Text).has_error());
+  for (const auto State :
+       {coordination::rollout_state::Running,
+        coordination::rollout_state::Completed,
+        coordination::rollout_state::RolledBack}) {
+    coordination::rollout_record Record;
+    Record.Service = "pages";
+    Record.ToVersion = "v2";
+    Record.State = State;
+    const auto Read = Codec.readStatus(Codec.statusKey("pages"),
+                                       Codec.writeStatus(Record));
+    REQUIRE(Read.has_value());
+    CHECK(Read.value().Service == "pages");
+    CHECK(Read.value().State == State);
+  }
+  CHECK(Codec.isOrderKey("op/rollout/pages"));
+  CHECK_FALSE(Codec.isOrderKey("op/config"));
+}
+
+TEST_CASE("announcements of upstreams") {
+  const platform::instance_codec Codec;
+  const auto Read = Codec.readCall(request("POST", BeatPath, goodBeat().dump()));
+  REQUIRE(Read.has_value());
+  const coordination::announcement &A = Read.value().Announcement;
+  CHECK(A.Name == "i-7f3a91c2");
+  CHECK(A.Service == "pages");
+  CHECK(A.Slots == 12);
+  CHECK(A.State == coordination::upstream_state::Serving);
+  CHECK(A.ColdFor == milliseconds(900));
+  CHECK(A.Sequence == 4);
+  CHECK(A.Born == 1790000000000ULL);
+  const auto Leave = Codec.readCall(
+      request("POST", "/api/rpc?call=instances.deregister&of=i-1"));
+  REQUIRE(Leave.has_value());
+  CHECK(Leave.value().Kind == transport::instance_call_kind::Leave);
+  CHECK(Leave.value().Announcement.Name == "i-1");
+}
+
+TEST_CASE("foreign announcements are refused") {
+  const platform::instance_codec Codec;
+  const change_case Cases[] = {
+      {"/service", nullptr, "service"}, {"/address", 3, "address"},
+      {"/slots", "12", "slots"},        {"/slots", 0, "slots"},
+      {"/slots", -1, "slots"},          {"/state", "asleep", "state"},
+      {"/state", nullptr, "state"},     {"/sequence", "4", "sequence"},
+      {"/sequence", nullptr, "sequence"}, {"/born", 1.5, "born"},
+      {"/coldRemainingMs", "x", "coldRemainingMs"},
+  };
+  for (const change_case &Case : Cases) {
+    CAPTURE(std::string(Case.Pointer));
+    const auto Read = Codec.readCall(
+        request("POST", BeatPath,
+                changed(goodBeat(), Case.Pointer, Case.Part).dump()));
+    REQUIRE(Read.has_error());
+    CHECK(Read.error().is(errc::InvalidMessage));
+    CHECK(Read.error().text().find(Case.Text) != std::string::npos);
+  }
+  struct path_case {
+    const char *Method;
+    const char *Target;
+    errc Code;
+  };
+  for (const path_case &Case :
+       {path_case{"GET", BeatPath, errc::NotFound},
+        path_case{"POST", "/api/rpc", errc::NotFound},
+        path_case{"POST", "/api/rpc?call=instances.heartbeat",
+                  errc::InvalidMessage},
+        path_case{"POST", "/api/rpc?call=other&of=i-1", errc::NotFound},
+        path_case{"POST", "/other?call=instances.heartbeat&of=i-1",
+                  errc::NotFound}}) {
+    CAPTURE(std::string(Case.Target));
+    const auto Read = Codec.readCall(
+        request(Case.Method, Case.Target, goodBeat().dump()));
+    REQUIRE(Read.has_error());
+    CHECK(Read.error().is(Case.Code));
+  }
+  for (const char *Body : {"", "\xff\xfe", "null", "[]", "{"})
+    CHECK(Codec.readCall(request("POST", BeatPath, Body)).has_error());
+}
+
+TEST_CASE("header fields of callers and upstreams") {
+  const platform::call_fields Fields;
+  transport::http_request Request = request("GET", "/a/1");
+  CHECK(Fields.readCall(Request).Id.empty());
+  CHECK_FALSE(Fields.readCall(Request).TimeLeft.has_value());
+  Request.set("Attempt-Id", "abc");
+  Request.set("Deadline-Ms", "500");
+  Request.set("Caller-Service", "forged");
+  CHECK(Fields.readCall(Request).Id == "abc");
+  CHECK(Fields.readCall(Request).TimeLeft == milliseconds(500));
+  for (const char *Wrong : {"-5", "x", "", "99999999999999999999"}) {
+    Request.set("Deadline-Ms", Wrong);
+    CHECK_FALSE(Fields.readCall(Request).TimeLeft.has_value());
+  }
+  Fields.writeCall(Request, {milliseconds(430), "i-1", "pages"});
+  CHECK(Request["Deadline-Ms"] == "430");
+  CHECK(Request["Expected-Instance"] == "i-1");
+  CHECK(Request["Caller-Service"] == "pages");
+  CHECK(Request["Attempt-Id"] == "abc");
+
+  transport::http_response Response;
+  CHECK_FALSE(Fields.readAnswer(Response, "abc").Genuine);
+  Response.set("Response-Signature", "s");
+  Response.set("Attempt-Id", "abc");
+  CHECK(Fields.readAnswer(Response, "abc").Genuine);
+  CHECK(Fields.readAnswer(Response, "abc").OwnId);
+  CHECK_FALSE(Fields.readAnswer(Response, "abd").OwnId);
+  CHECK_FALSE(Fields.readAnswer(Response, "abc").NotRun);
+  Response.set("Not-Executed", "1");
+  CHECK(Fields.readAnswer(Response, "abc").NotRun);
+  Fields.writeRefusal(Response, milliseconds(1234));
+  CHECK(Response["Retry-After"] == "1.234");
+}
