--- a/hyssopledge/transport/mesh_plane.h
+++ b/hyssopledge/transport/mesh_plane.h
@@ -57,6 +57,9 @@
   mesh_plane(const mesh_plane &) = delete;
   mesh_plane &operator=(const mesh_plane &) = delete;
 
+  std::string entryAddress() const { return Entry->address(); } // as bound
+  std::string hopAddress() const { return Hop->address(); }     // as bound
+
   void setDocument(std::shared_ptr<const state::route_table> Table);
   void setDirectory(const coordination::fleet_directory &Directory);
   void onSignOfLife(const std::string &Instance);
--- /dev/null
+++ b/tests/mesh_plane_test.cpp
@@ -0,0 +1,500 @@
+/// \file
+/// A caller, daemons of the mesh and scripted upstreams on loopback: what
+/// reaches the upstream, and what the caller is told.
+#include "hyssopledge/transport/mesh_plane.h"
+
+#include "platform/call_fields.h"
+#include <doctest/doctest.h>
+
+#include "support/http_fixture.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <doctest/doctest.h>
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace hyssopledge;
+using namespace hyssopledge::tests;
+using coordination::upstream_state;
+using std::chrono::milliseconds;
+
+namespace {
+
+const char *const Signed = "Response-Signature: s\r\n";
+
+/// A daemon with the upstream beside it, on a thread of its own.
+class mesh_node {
+public:
+  mesh_node(const std::string &Name, const std::string &UpstreamAddress)
+      : Name(Name), Metrics(Name), Work(Context.get_executor()) {
+    transport::upstream_port_options PortOptions;
+    PortOptions.Address = UpstreamAddress;
+    PortOptions.DrainGrace = milliseconds(0);
+    PortOptions.Pool.AnswerMayEndWithClose = true;
+    PortOptions.Pool.ConnectTimeout = milliseconds(300);
+    transport::upstream_port_hooks Hooks;
+    Hooks.OnCrash = [this](const auto &Seen) { Crashes.put(Seen); };
+    Port = std::make_unique<transport::upstream_port>(Context, Fields,
+                                                      PortOptions, Hooks);
+    transport::mesh_plane_options Options;
+    Options.Instance = Name;
+    Options.DataCentre = "dc1";
+    Options.Service = "pages";
+    Options.EntryAddress = Options.HopAddress = "127.0.0.1:0";
+    Options.Retries.Slack = 1000;
+    transport::mesh_plane_hooks PlaneHooks;
+    PlaneHooks.Ping = [](const std::string &) {};
+    PlaneHooks.DocumentText = [] { return std::string("the document"); };
+    Plane = std::move(transport::mesh_plane::open(Context, Options, PlaneHooks,
+                                                  Fields, *Port, Metrics)
+                          .value());
+    Thread = std::thread([this] { Context.run(); });
+  }
+  ~mesh_node() {
+    Context.stop();
+    Thread.join();
+    Plane.reset();
+    Port.reset();
+  }
+
+  /// Runs on the daemon's thread and waits for the end.
+  void run(const std::function<void()> &Function) {
+    std::promise<void> Done;
+    boost::asio::post(Context, [&] {
+      Function();
+      Done.set_value();
+    });
+    Done.get_future().wait();
+  }
+  coordination::member_record record() {
+    coordination::member_record Record;
+    Record.Instance = Name;
+    Record.Incarnation = 1;
+    Record.Revision = ++Revision;
+    Record.DataCentre = "dc1";
+    Record.CallAddress = Plane->hopAddress();
+    Record.Upstream.Name = "i-" + Name;
+    Record.Upstream.Service = "pages";
+    Record.Upstream.Slots = 4;
+    Record.Upstream.State = upstream_state::Serving;
+    return Record;
+  }
+  std::string address() const { return Plane->entryAddress(); }
+
+  std::string Name;
+  boost::asio::io_context Context{1};
+  platform::call_fields Fields;
+  transport::metrics Metrics;
+  inbox<std::vector<state::crash_sighting>> Crashes;
+  std::unique_ptr<transport::upstream_port> Port;
+  std::unique_ptr<transport::mesh_plane> Plane;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
+  std::thread Thread;
+  std::uint64_t Revision = 0;
+};
+
+std::shared_ptr<const state::route_table> testTable(milliseconds Timeout) {
+  state::document Document;
+  state::service_spec Service;
+  Service.Name = "pages";
+  Document.Services = {Service};
+  Document.Limits.BodyBytes = 4096;
+  Document.Limits.HeaderBytes = 2048;
+  for (const bool Safe : {true, false}) {
+    state::route_spec Route;
+    Route.Name = Safe ? "look" : "book";
+    Route.Host = "shop.example";
+    Route.PathPrefix = Safe ? "/look/" : "/book/";
+    Route.Service = "pages";
+    Route.Idempotent = Safe;
+    Route.Timeout = Timeout;
+    Route.Aim = Timeout / 2;
+    Route.MaxAttempts = 3;
+    Document.Routes.push_back(Route);
+  }
+  return state::route_table::build(1, Document).value();
+}
+
+/// An entry daemon without an upstream, and daemons beside upstreams.
+class mesh {
+public:
+  explicit mesh(std::vector<scripted_upstream::script> Scripts,
+                milliseconds Timeout = std::chrono::seconds(5))
+      : Entry("entry", "127.0.0.1:9") {
+    for (auto &Script : Scripts) {
+      Upstreams.push_back(
+          std::make_unique<scripted_upstream>(std::move(Script)));
+      Targets.push_back(std::make_unique<mesh_node>(
+          "target-" + std::to_string(Targets.size()),
+          Upstreams.back()->address()));
+    }
+    for (const auto &Target : Targets) {
+      const auto Record = Target->record();
+      Directory.merge(Record);
+      Target->run([&] { Target->Port->setUpstream(Record.Upstream); });
+    }
+    Entry.run([&] {
+      Entry.Plane->setDocument(testTable(Timeout));
+      Entry.Plane->setDirectory(Directory);
+    });
+  }
+
+  http_response call(const http_request &Request) {
+    return callOnce(Entry.address(), Request);
+  }
+
+  coordination::fleet_directory Directory;
+  std::vector<std::unique_ptr<scripted_upstream>> Upstreams;
+  std::vector<std::unique_ptr<mesh_node>> Targets;
+  mesh_node Entry;
+};
+
+http_request shopRequest(http::verb Method, const std::string &Path,
+                         const std::string &Body = "") {
+  http_request Request = makeRequest(Method, Path, Body);
+  Request.set(http::field::host, "shop.example");
+  Request.set("Attempt-Id", "a1");
+  Request.set("Deadline-Ms", "4000");
+  return Request;
+}
+
+/// Answers each request on a connection alike.
+scripted_upstream::script answering(const std::string &Body,
+                                    unsigned Status = 200,
+                                    const std::string &Fields = Signed) {
+  return [=](upstream_connection &Connection) {
+    while (Connection.read())
+      Connection.answer(Body, Status, Fields);
+  };
+}
+
+/// Sends raw bytes for the first request of each connection, then closes.
+scripted_upstream::script sending(const std::string &Bytes) {
+  return [=](upstream_connection &Connection) {
+    if (Connection.read())
+      Connection.send(Bytes);
+  };
+}
+
+} // namespace
+
+TEST_CASE("a request is forwarded as it came, with the fields of the mesh") {
+  inbox<http_request> Seen;
+  mesh Mesh({[&](upstream_connection &Connection) {
+    while (auto Request = Connection.read()) {
+      Seen.put(*Request);
+      Connection.answer("hello", 201, std::string(Signed) + "X-Kept: 1\r\n");
+    }
+  }});
+  http_request Request = shopRequest(http::verb::post, "/book/7?x=%20y", "abc");
+  Request.set("Caller-Service", "forged");
+  Request.set("X-Other", "kept");
+  Request.set(http::field::connection, "keep-alive, X-Hop");
+  Request.set("X-Hop", "dropped");
+  const auto Response = Mesh.call(Request);
+  CHECK(Response.result_int() == 201);
+  CHECK(Response.body() == "hello");
+  CHECK(Response["Response-Signature"] == "s");
+  CHECK(Response["X-Kept"] == "1");
+  CHECK(Response.find("x-hyssop-answer") == Response.end());
+  const auto Arrived = Seen.take();
+  REQUIRE(Arrived.has_value());
+  CHECK(Arrived->method() == http::verb::post);
+  CHECK(Arrived->target() == "/book/7?x=%20y");
+  CHECK(Arrived->body() == "abc");
+  CHECK((*Arrived)["Attempt-Id"] == "a1");
+  CHECK((*Arrived)["Caller-Service"] == "pages");
+  CHECK((*Arrived)["Expected-Instance"] == "i-target-0");
+  CHECK((*Arrived)["X-Other"] == "kept");
+  CHECK(Arrived->find("X-Hop") == Arrived->end());
+  CHECK(Arrived->find("x-hyssop-call") == Arrived->end());
+  const int Left = std::stoi(std::string((*Arrived)["Deadline-Ms"]));
+  CHECK(Left > 3000);
+  CHECK(Left <= 4000);
+}
+
+TEST_CASE("what an upstream does decides what the caller is told") {
+  struct answer_case {
+    const char *Name;
+    scripted_upstream::script First; // of the upstream that is asked first
+    unsigned Safe;   // status for a request that may be repeated
+    unsigned Unsafe; // for one that may not; the other upstream answers 200
+  };
+  const std::string Head = "HTTP/1.1 200 OK\r\n";
+  const answer_case Cases[] = {
+      {"whole answer", answering("first"), 200, 200},
+      {"cut in the body",
+       sending(Head + Signed + "Content-Length: 10\r\n\r\nabc"), 200, 502},
+      {"cut before the head", sending("HTTP/1.1 200"), 200, 502},
+      {"not an answer", sending("hello hello hello\r\n\r\n"), 200, 502},
+      {"success without a signature", answering("x", 200, ""), 200, 502},
+      {"failure of the upstream", answering("x", 500), 200, 500},
+      {"not run", answering("", 503, "Not-Executed: 1\r\n"), 200, 200},
+      {"another upstream at the address", answering("", 421), 200, 200},
+      {"closed at once", [](upstream_connection &C) { C.close(); }, 200, 502},
+      {"ends with its connection", sending(Head + Signed + "\r\nto the end"),
+       200, 200},
+      {"interim answer first",
+       sending("HTTP/1.1 102 Processing\r\n\r\n" + Head + Signed +
+               "Content-Length: 1\r\n\r\nx"),
+       200, 200},
+      {"answer to another request first",
+       sending(Head + Signed + "Attempt-Id: other\r\nContent-Length: 5\r\n\r\n"
+                               "wrong" +
+               Head + Signed + "Attempt-Id: a1\r\nContent-Length: 5\r\n\r\n"
+                               "right"),
+       200, 200},
+  };
+  for (const answer_case &Case : Cases)
+    for (const bool Safe : {true, false}) {
+      CAPTURE(std::string(Case.Name));
+      CAPTURE(Safe);
+      mesh Mesh({Case.First, answering("second")});
+      // The second one is known to be slow, so the first is asked first.
+      Mesh.Entry.run([&] {
+        auto Slow = Mesh.Targets[1]->record();
+        Slow.DataCentre = "dc2";
+        Mesh.Directory.merge(Slow);
+        Mesh.Entry.Plane->setDirectory(Mesh.Directory);
+      });
+      const auto Response = Mesh.call(
+          Safe ? shopRequest(http::verb::get, "/look/1")
+               : shopRequest(http::verb::post, "/book/1", "b"));
+      CHECK(Response.result_int() == (Safe ? Case.Safe : Case.Unsafe));
+      CHECK(Response.body() != "wrong");
+      CHECK(Response.body() != "abc");
+    }
+}
+
+TEST_CASE("bytes after an answer belong to no request") {
+  std::atomic<unsigned> Requests{0};
+  mesh Mesh({[&](upstream_connection &Connection) {
+    while (Connection.read()) {
+      ++Requests;
+      Connection.send("HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n"
+                      "Content-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\n"
+                      "Response-Signature: s\r\nContent-Length: 5\r\n\r\nextra");
+    }
+  }});
+  for (int I = 0; I < 3; ++I)
+    CHECK(Mesh.call(shopRequest(http::verb::get, "/look/1")).body() == "x");
+  CHECK(Requests == 3);
+}
+
+TEST_CASE("requests sent behind each other run together, answers keep the order") {
+  gate Second;
+  mesh Mesh({[&](upstream_connection &Connection) {
+    while (auto Request = Connection.read()) {
+      // The first one ends only after the second one has begun.
+      if (Request->target() == "/look/1")
+        REQUIRE(Second.wait());
+      else
+        Second.open();
+      Connection.answer(std::string(Request->target()), 200, Signed);
+    }
+  }});
+  blocking_caller Caller(Mesh.Entry.address());
+  http_request One = shopRequest(http::verb::get, "/look/1");
+  http_request Two = shopRequest(http::verb::get, "/look/2");
+  Two.set("Attempt-Id", "a2");
+  Caller.send(One);
+  Caller.send(Two);
+  CHECK(Caller.receive().body() == "/look/1");
+  CHECK(Caller.receive().body() == "/look/2");
+}
+
+TEST_CASE("when the caller leaves, the upstream's work ends") {
+  inbox<bool> Closed;
+  gate Begun;
+  mesh Mesh({[&](upstream_connection &Connection) {
+    if (!Connection.read())
+      return;
+    Begun.open();
+    Closed.put(Connection.awaitClose());
+  }});
+  blocking_caller Caller(Mesh.Entry.address());
+  Caller.send(shopRequest(http::verb::get, "/look/1"));
+  REQUIRE(Begun.wait());
+  Caller.close();
+  CHECK(Closed.take().value_or(false));
+}
+
+TEST_CASE("a route's timeout ends the wait") {
+  mesh Mesh({[](upstream_connection &Connection) {
+              if (Connection.read())
+                Connection.awaitClose();
+            }},
+            milliseconds(200));
+  const auto Started = std::chrono::steady_clock::now();
+  const auto Response = Mesh.call(shopRequest(http::verb::post, "/book/1"));
+  const auto Took = std::chrono::steady_clock::now() - Started;
+  CHECK(Response.result_int() == 504);
+  CHECK(Took >= milliseconds(200));
+  CHECK(Took < milliseconds(700));
+}
+
+TEST_CASE("requests that can't be served are refused as not run") {
+  struct refusal_case {
+    const char *Name;
+    std::function<void(mesh &)> Prepare;
+    const char *Path;
+    unsigned Status;
+    bool RetryAfter;
+  };
+  const refusal_case Cases[] = {
+      {"no route", [](mesh &) {}, "/none/1", 404, false},
+      {"upstream drains",
+       [](mesh &M) {
+         auto Record = M.Targets[0]->record();
+         Record.Upstream.State = upstream_state::Draining;
+         M.Targets[0]->run(
+             [&] { M.Targets[0]->Port->setUpstream(Record.Upstream); });
+       },
+       "/book/1", 503, true},
+      {"upstream was replaced",
+       [](mesh &M) {
+         auto Record = M.Targets[0]->record();
+         Record.Upstream.Name = "i-new";
+         M.Targets[0]->run(
+             [&] { M.Targets[0]->Port->setUpstream(Record.Upstream); });
+       },
+       "/book/1", 503, true},
+      {"its daemon leaves",
+       [](mesh &M) {
+         M.Targets[0]->run([&] { M.Targets[0]->Port->close(); });
+       },
+       "/book/1", 503, true},
+      {"upstream refuses connections",
+       [](mesh &M) { M.Upstreams[0]->stopListening(); }, "/book/1", 503, true},
+      {"no target is known",
+       [](mesh &M) {
+         M.Entry.run([&] { M.Entry.Plane->setDirectory({}); });
+       },
+       "/book/1", 503, true},
+      {"this daemon leaves",
+       [](mesh &M) { M.Entry.run([&] { M.Entry.Plane->refuseCallers(); }); },
+       "/book/1", 503, true},
+  };
+  for (const refusal_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    std::atomic<unsigned> Requests{0};
+    mesh Mesh({[&](upstream_connection &Connection) {
+      while (Connection.read()) {
+        ++Requests;
+        Connection.answer("x", 200, Signed);
+      }
+    }});
+    Case.Prepare(Mesh);
+    const auto Response =
+        Mesh.call(shopRequest(http::verb::post, Case.Path, "b"));
+    CHECK(Response.result_int() == Case.Status);
+    CHECK((Response.find(http::field::retry_after) != Response.end()) ==
+          Case.RetryAfter);
+    CHECK(Requests == 0);
+  }
+}
+
+TEST_CASE("malformed and smuggled requests reach no upstream") {
+  struct input_case {
+    const char *Name;
+    std::string Bytes;
+    unsigned Status;
+  };
+  const std::string Start = "POST /book/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                            "Attempt-Id: a1\r\nDeadline-Ms: 4000\r\n";
+  const std::string Inner = "GET /look/9 HTTP/1.1\r\nHost: shop.example\r\n\r\n";
+  const input_case Cases[] = {
+      {"two lengths",
+       Start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
+      {"length and chunks",
+       Start + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "0\r\n\r\n" +
+           Inner,
+       400},
+      {"length that is no number", Start + "Content-Length: 1x\r\n\r\na", 400},
+      {"chunk size that is no number",
+       Start + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+      {"space before the colon", Start + "X-A : 1\r\n\r\n", 400},
+      {"folded line", Start + "X-A: 1\r\n\r b\r\n\r\n", 0},
+      {"no HTTP", "hello\r\n\r\n", 400},
+      {"long header", Start + "X-A: " + std::string(4000, 'a') + "\r\n\r\n",
+       431},
+      {"long body", Start + "Content-Length: 5000\r\n\r\n", 413},
+  };
+  for (const input_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    std::atomic<unsigned> Looks{0};
+    mesh Mesh({[&](upstream_connection &Connection) {
+      while (auto Request = Connection.read()) {
+        Looks += Request->target() == "/look/9" ? 1 : 0;
+        Connection.answer("x", 200, Signed);
+      }
+    }});
+    blocking_caller Caller(Mesh.Entry.address());
+    Caller.sendRaw(Case.Bytes);
+    const auto Response = Caller.receive();
+    if (Case.Status != 0)
+      CHECK(Response.result_int() == Case.Status);
+    CHECK(Looks == 0);
+  }
+}
+
+TEST_CASE("a body in chunks arrives whole") {
+  inbox<std::string> Bodies;
+  mesh Mesh({[&](upstream_connection &Connection) {
+    while (auto Request = Connection.read()) {
+      Bodies.put(Request->body());
+      Connection.answer("x", 200, Signed);
+    }
+  }});
+  blocking_caller Caller(Mesh.Entry.address());
+  Caller.sendRaw("POST /book/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                 "Attempt-Id: a1\r\nDeadline-Ms: 4000\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+  Caller.sendRaw("2\r\nde\r\n0\r\n\r\n");
+  CHECK(Caller.receive().result_int() == 200);
+  CHECK(Bodies.take().value_or("") == "abcde");
+}
+
+TEST_CASE("an upstream that crashes is reported with its requests") {
+  mesh Mesh({[](upstream_connection &) {}});
+  Mesh.Upstreams[0] = std::make_unique<scripted_upstream>(
+      [](upstream_connection &Connection) { Connection.read(); });
+  auto &Target = *Mesh.Targets[0];
+  scripted_upstream *Upstream = nullptr;
+  scripted_upstream Crashing([&](upstream_connection &Connection) {
+    Connection.read();
+    Upstream->stopListening();
+  });
+  Upstream = &Crashing;
+  mesh_node Node("crash", Crashing.address());
+  const auto Record = Node.record();
+  Node.run([&] { Node.Port->setUpstream(Record.Upstream); });
+  coordination::fleet_directory Directory;
+  Directory.merge(Record);
+  Mesh.Entry.run([&] { Mesh.Entry.Plane->setDirectory(Directory); });
+  CHECK(Mesh.call(shopRequest(http::verb::post, "/book/1", "b")).result_int() ==
+        502);
+  const auto Seen = Node.Crashes.take();
+  REQUIRE(Seen.has_value());
+  CHECK(Seen->size() == 1);
+  (void)Target;
+}
+
+TEST_CASE("other daemons get the document, others get nothing") {
+  mesh Mesh({answering("x")});
+  const std::string Hop = Mesh.Entry.Plane->hopAddress();
+  CHECK(callOnce(Hop, makeRequest(http::verb::get,
+                                  transport::mesh_plane::DocumentPath))
+            .body() == "the document");
+  CHECK(callOnce(Hop, makeRequest(http::verb::get, "/look/1")).result_int() ==
+        400);
+  http_request Wrong = makeRequest(http::verb::get, "/look/1");
+  Wrong.set(transport::HopCallField, "i-1|look|pages|x|0|0|");
+  CHECK(callOnce(Hop, Wrong).result_int() == 400);
+}
