Test versions under load early; end a shutdown with an answer to every request

Change: four short steps, 4 % least excess, no rise while suspect, counts of the step judged by themselves; requests taken during a shutdown have its end as deadline, and the rest is answered 504.

--- a/apps/hyssop_mesh/main.cpp
+++ b/apps/hyssop_mesh/main.cpp
@@ -79,7 +79,9 @@
     return Failed;
   }
   Daemon.value()->run();
-  return Fine;
+  // Closing every connection in turn could outlast the grace time; the kernel
+  // does it at once.
+  std::_Exit(Fine);
 }
 
 } // namespace
--- a/apps/hyssop_mesh/mesh_daemon.cpp
+++ b/apps/hyssop_mesh/mesh_daemon.cpp
@@ -28,8 +28,9 @@
 constexpr milliseconds RefuseAfter{2800};
 // Without a request for this long, the callers have gone.
 constexpr milliseconds QuietTime{400};
-// Before the platform's kill.
-constexpr milliseconds GraceMargin{800};
+// Before the platform's kill: for the last answers and the end of the process.
+constexpr milliseconds GraceMargin{700};
+constexpr milliseconds LastAnswersTime{150};
 // Part of the drain time in which requests that were on their way are run.
 constexpr int DrainPart = 3;
 // A connection to another daemon or an upstream on which nothing is
@@ -351,6 +352,8 @@
   const bool UpstreamGone =
       Registry.record().State == coordination::upstream_state::Gone;
   Port->close();
+  Plane->setLastMoment(LeavingSince + Settings.Grace - GraceMargin -
+                       LastAnswersTime);
   Agent->leave(UpstreamGone);
   LeaveCheck = Timers.every(LeaveCheckInterval,
                             [this](state::time_point) { checkLeft(); });
@@ -366,8 +369,10 @@
     Plane->refuseCallers();
   const bool Quiet =
       Now - LeavingSince >= LeaveAtLeast && Now - IdleSince >= QuietTime;
-  const bool Last = Now - LeavingSince >= Settings.Grace - GraceMargin;
-  if (Quiet || Last)
+  const auto Left = LeavingSince + Settings.Grace - GraceMargin - Now;
+  if (Left <= LastAnswersTime)
+    Plane->answerRest();
+  if (Quiet || Left <= milliseconds(0))
     Context.stop();
 }
 
--- a/hyssopledge/coordination/fleet_agent.cpp
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -675,6 +675,18 @@
         Sum.TotalMs += Count.TotalMs;
       }
     }
+    if (Followed.StepOfCounts != Record.Step) {
+      Followed.StepOfCounts = Record.Step;
+      Followed.NewAtStep = New;
+    }
+    route_counts NewInStep = New;
+    for (auto &[Route, Count] : NewInStep) {
+      const run_count &Before = Followed.NewAtStep[Route];
+      // Counts go back when an upstream's daemon starts again.
+      Count.Runs -= std::min(Count.Runs, Before.Runs);
+      Count.Failures -= std::min(Count.Failures, Before.Failures);
+      Count.TotalMs -= std::min(Count.TotalMs, Before.TotalMs);
+    }
     const pilot_input Input{
         std::chrono::duration_cast<std::chrono::milliseconds>(Now -
                                                               Followed.SeenAt),
@@ -686,6 +698,7 @@
         OldSlots,
         Cold,
         New,
+        NewInStep,
         Old};
     const pilot_decision Decision = decideShare(Input);
     if (Decision.State != Record.State || Decision.ShareBp != Record.ShareBp) {
--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -129,6 +129,8 @@
     bool WritingStatus = false;
     std::optional<rollout_state> Written; // state on the platform
     state::time_point NextWrite{};
+    std::uint64_t StepOfCounts = 0;
+    route_counts NewAtStep; // counts of the new version when the step began
   };
   struct evidence_row {
     std::string Version;
--- a/hyssopledge/coordination/rollout_pilot.cpp
+++ b/hyssopledge/coordination/rollout_pilot.cpp
@@ -13,28 +13,28 @@
   double From;           // part of the duration
   std::uint32_t ShareBp; // 1/10,000 of the calls
 };
-// The share that an unproven version may have for its whole time is 10 %; the
-// steps above it last only until the deadline, and each one proves the next.
-constexpr std::array<ladder_step, 7> Ladder = {{{0.0, 500},
-                                                {0.15, 800},
-                                                {0.38, 2000},
-                                                {0.46, 4000},
-                                                {0.54, 6500},
-                                                {0.62, 10000},
-                                                {1.0, 10000}}};
+// An unproven version may get 10 % of the calls of its whole time. Some faults
+// show only under load, so the share rises in short steps to all calls, and the
+// part of the time until then stays below those 10 %: 1.5 + 1.6 + 4 %.
+constexpr std::array<ladder_step, 4> Ladder = {
+    {{0.0, 500}, {0.30, 2000}, {0.38, 5000}, {0.46, 10000}}};
 // Old upstreams stop at once when the move is done, so all daemons must send
 // everything to the new version before.
 constexpr double CompleteFrom = 0.78; // of the duration
 constexpr std::chrono::milliseconds WholeShareTime{1500};
 // Runs without a fault before the share rises beyond the unproven part.
 constexpr std::uint64_t RunsToRise = 12;
-constexpr std::uint32_t UnprovenBp = 800;
+constexpr std::uint32_t UnprovenBp = 500;
 
 //--- Test ---------------------------------------------------------------------
 // A version is bad when its failures exceed what the old version's rate explains
 // by this many standard deviations, and by this much in absolute terms.
 constexpr double Deviations = 4;
-constexpr double LeastExcess = 0.1;
+constexpr double LeastExcess = 0.04;
+// With this many failures, and a rate above the old version's by SuspectExcess,
+// the share does not rise.
+constexpr std::uint64_t SuspectFailures = 3;
+constexpr double SuspectExcess = 0.02;
 constexpr double LeastRate = 0.01; // a failure rate that any version may have
 constexpr std::uint64_t LeastFailures = 4;
 // Run times are compared when both versions have this many runs.
@@ -71,20 +71,27 @@
   return {};
 }
 
+run_count total(const route_counts &Counts) {
+  run_count Total;
+  for (const auto &[Route, Count] : Counts) {
+    Total.Runs += Count.Runs;
+    Total.Failures += Count.Failures;
+  }
+  return Total;
+}
+
+bool suspect(const route_counts &New, const route_counts &Old) {
+  const run_count NewTotal = total(New);
+  return NewTotal.Failures >= SuspectFailures &&
+         rate(NewTotal) > rate(total(Old)) + SuspectExcess;
+}
+
 } // namespace
 
 std::string versionFault(const route_counts &New, const route_counts &Old,
                          bool NewCold) {
   static const run_count None;
-  run_count NewTotal;
-  run_count OldTotal;
-  for (const auto &[Route, Count] : Old) {
-    OldTotal.Runs += Count.Runs;
-    OldTotal.Failures += Count.Failures;
-  }
   for (const auto &[Route, Count] : New) {
-    NewTotal.Runs += Count.Runs;
-    NewTotal.Failures += Count.Failures;
     const auto Same = Old.find(Route);
     std::string Fault =
         faultOf(Count, Same == Old.end() ? None : Same->second, NewCold);
@@ -92,15 +99,17 @@
       return Fault + " on route " + Route;
   }
   // Failures that are spread over many routes.
-  NewTotal.TotalMs = 0;
-  std::string Fault = faultOf(NewTotal, OldTotal, NewCold);
+  std::string Fault = faultOf(total(New), total(Old), NewCold);
   return Fault.empty() ? Fault : Fault + " in total";
 }
 
 pilot_decision decideShare(const pilot_input &Input) {
   pilot_decision Decision;
   Decision.ShareBp = Input.ShareBp;
-  const std::string Fault = versionFault(Input.New, Input.Old, Input.NewCold);
+  std::string Fault = versionFault(Input.New, Input.Old, Input.NewCold);
+  // A fault that began with the present share is diluted in the whole count.
+  if (Fault.empty())
+    Fault = versionFault(Input.NewInStep, Input.Old, Input.NewCold);
   if (!Fault.empty()) {
     Decision.State = rollout_state::RolledBack;
     Decision.ShareBp = 0;
@@ -121,11 +130,8 @@
   for (const ladder_step &Step : Ladder)
     if (Part >= Step.From)
       Share = Step.ShareBp;
-  std::uint64_t Runs = 0;
-  for (const auto &[Route, Count] : Input.New)
-    Runs += Count.Runs;
   Decision.Rule = "ladder";
-  if (Share > UnprovenBp && Runs < RunsToRise) {
+  if (Share > UnprovenBp && total(Input.New).Runs < RunsToRise) {
     Share = UnprovenBp;
     Decision.Rule = "too few runs";
   }
@@ -137,7 +143,12 @@
     if (Share > UnprovenBp && Share > Room * 3 / 2)
       Share = std::max(UnprovenBp, Room * 3 / 2);
   }
-  Decision.ShareBp = std::max(Share, Input.ShareBp == 0 ? 0 : Input.ShareBp);
+  if (Share > Input.ShareBp && Input.ShareBp > 0 &&
+      (suspect(Input.New, Input.Old) || suspect(Input.NewInStep, Input.Old))) {
+    Share = Input.ShareBp;
+    Decision.Rule = "suspect";
+  }
+  Decision.ShareBp = std::max(Share, Input.ShareBp);
   if (Decision.ShareBp == 10000 && Input.ShareBp == 10000 &&
       Input.SinceStep >= WholeShareTime && Part >= CompleteFrom) {
     Decision.State = rollout_state::Completed;
--- a/hyssopledge/coordination/rollout_pilot.h
+++ b/hyssopledge/coordination/rollout_pilot.h
@@ -30,8 +30,9 @@
   std::uint32_t NewSlots = 0; // of serving upstreams of the new version
   std::uint32_t OldSlots = 0;
   bool NewCold = false; // some upstream of the new version has just started
-  const route_counts &New;
-  const route_counts &Old;
+  const route_counts &New;       // since the order
+  const route_counts &NewInStep; // since the share last changed
+  const route_counts &Old;       // since the order
 };
 
 struct pilot_decision {
--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -90,7 +90,7 @@
       return answerOwn(404, NotRun, "no-route");
     const milliseconds Given = Facts.TimeLeft.value_or(DefaultTime);
     TimeLeft = std::min(Given, Route->Timeout);
-    Deadline = Started + TimeLeft;
+    Deadline = std::min(Started + TimeLeft, Plane.LastMoment);
     AimAt = Deadline;
     if (Route->Aim.count() > 0) {
       // The aim counts from the caller's first attempt.
@@ -106,7 +106,7 @@
       if (const auto Self = Weak.lock())
         Self->callerGone();
     });
-    if (TimeLeft.count() <= 0)
+    if (Deadline <= Started)
       return refuse("deadline", LeastRetryAfter);
     attempt();
   }
@@ -124,6 +124,15 @@
     onEnd(std::move(Answer));
   }
 
+  /// This daemon ends before the answer.
+  void giveUp() {
+    ++Epoch;
+    forgetPeer();
+    if (Sending)
+      Sending->cancel();
+    answerOwn(504, Unknown, "leaving");
+  }
+
 private:
   void chooseService() {
     if (Route->Split.empty()) {
@@ -667,6 +676,16 @@
 
 void mesh_plane::refuseCallers() { Refusing = true; }
 
+void mesh_plane::setLastMoment(state::time_point Time) { LastMoment = Time; }
+
+void mesh_plane::answerRest() {
+  std::vector<std::shared_ptr<entry_call>> Rest;
+  for (const auto &[Key, Call] : Calls)
+    Rest.push_back(Call);
+  for (const auto &Call : Rest)
+    Call->giveUp();
+}
+
 std::size_t mesh_plane::active() const {
   return Entry->active() + Hop->active();
 }
--- a/hyssopledge/transport/mesh_plane.h
+++ b/hyssopledge/transport/mesh_plane.h
@@ -69,6 +69,10 @@
   //--- Leaving ----------------------------------------------------------------
   void closeAfterAnswers(); // each answer to a caller ends its connection
   void refuseCallers();     // new requests are not run
+  /// Requests are planned to end by then.
+  void setLastMoment(state::time_point LastMoment);
+  /// Answers what has no answer yet: its outcome is unknown.
+  void answerRest();
   std::size_t active() const; // requests without a written answer
   std::size_t openCalls() const { return Calls.size(); }
 
@@ -129,6 +133,7 @@
   boost::asio::steady_timer PeerTimer;
   state::time_point LastWatch{};
   bool Refusing = false;
+  state::time_point LastMoment = state::time_point::max();
   std::unique_ptr<http_listener> Entry;
   std::unique_ptr<http_listener> Hop;
 };
--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -295,8 +295,10 @@
       {"no upstream yet", 100, 100, 0, 0, false, {}, {}, Running, 0, 0},
       {"unproven half way", 8000, 3000, 800, 24, false, counts(5, 0, 100),
        counts(500, 2, 100), Running, 1, 1000},
-      {"proven half way", 8000, 3000, 800, 24, false, counts(100, 0, 100),
-       counts(500, 2, 100), Running, 2000, 6000},
+      {"proven at a third", 5500, 3000, 800, 24, false, counts(100, 0, 100),
+       counts(500, 2, 100), Running, 2000, 2000},
+      {"suspect at a third", 5500, 3000, 800, 24, false, counts(41, 3, 100),
+       counts(500, 2, 100), Running, 800, 800},
       {"whole share", 11'000, 1000, 6500, 24, false, counts(300, 1, 100),
        counts(900, 2, 100), Running, 10'000, 10'000},
       {"done", 13'500, 2500, 10'000, 24, false, counts(900, 2, 100),
@@ -329,6 +331,7 @@
                             24,
                             Case.Cold,
                             Case.New,
+                            Case.New,
                             Case.Old};
     const pilot_decision Decision = decideShare(Input);
     CHECK(Decision.State == Case.State);
@@ -343,11 +346,13 @@
   struct bad_case {
     const char *Name;
     int BadFromMs;
-    std::uint32_t BadFromBp; // or from this share on
+    std::uint32_t BadFromBp; // and from this share on
+    int BadOneOf;            // one of so many requests fails
   };
-  for (const bad_case &Case : {bad_case{"at once", 0, 0},
-                               bad_case{"after 3.4 s", 3400, 0},
-                               bad_case{"under load", 0, 4000}}) {
+  for (const bad_case &Case : {bad_case{"at once", 0, 0, 2},
+                               bad_case{"after 3.4 s", 3400, 0, 2},
+                               bad_case{"under load", 0, 4000, 2},
+                               bad_case{"under load, partly", 0, 4000, 8}}) {
     CAPTURE(std::string(Case.Name));
     constexpr int PerSecond = 200;
     constexpr int DurationMs = 16'000;
@@ -357,12 +362,14 @@
     int SteppedAt = 0;
     int BackAt = -1;
     double Credit = 0;
+    std::uint32_t StepBp = 0;
+    run_count AtStep;
     for (int Ms = 0; Ms < DurationMs && BackAt < 0; Ms += 5) {
       Credit += ShareBp / 10'000.0;
       if (Credit >= 1) {
         Credit -= 1;
         const bool Bad = Ms >= Case.BadFromMs && ShareBp >= Case.BadFromBp;
-        NewRuns.emplace_back(Ms, Bad && NewRuns.size() % 2 == 0);
+        NewRuns.emplace_back(Ms, Bad && NewRuns.size() % Case.BadOneOf == 0);
       } else {
         OldRuns.push_back(Ms);
       }
@@ -381,6 +388,14 @@
       Old.TotalMs = Old.Runs * 100;
       const route_counts NewCounts{{"page", New}};
       const route_counts OldCounts{{"page", Old}};
+      if (ShareBp != StepBp) {
+        StepBp = ShareBp;
+        AtStep = New;
+      }
+      const route_counts InStep{{"page",
+                                 {New.Runs - AtStep.Runs,
+                                  New.Failures - AtStep.Failures,
+                                  New.TotalMs - AtStep.TotalMs}}};
       const pilot_input Input{milliseconds(Ms),
                               milliseconds(DurationMs),
                               milliseconds(Ms - SteppedAt),
@@ -389,6 +404,7 @@
                               24,
                               false,
                               NewCounts,
+                              InStep,
                               OldCounts};
       const pilot_decision Decision = decideShare(Input);
       if (Decision.ShareBp != ShareBp)
