--- a/apps/hyssop_mesh/main.cpp
+++ b/apps/hyssop_mesh/main.cpp
@@ -45,8 +45,7 @@
                         {{"path", Path}});
 }
 
-int start(const std::string &Path, bool CheckOnly,
-          transport::log_level Level) {
+int start(const std::string &Path, bool CheckOnly, transport::log_level Level) {
   auto Settings = load(Path);
   if (!Settings) {
     std::cerr << "hyssop_mesh: " << Settings.error().text() << "\n";
@@ -98,15 +97,15 @@
        "trace, debug, info, warn or error", "LEVEL"},
       {"check", 0, POPT_ARG_NONE, &Check, 0,
        "check the settings and exit without starting", nullptr},
-      {"version", 'V', POPT_ARG_NONE, &Version, 0,
-       "print the version and exit", nullptr},
+      {"version", 'V', POPT_ARG_NONE, &Version, 0, "print the version and exit",
+       nullptr},
       POPT_AUTOHELP POPT_TABLEEND};
   poptContext Options = poptGetContext("hyssop_mesh", Argc, Argv, Table, 0);
   const int Parsed = poptGetNextOpt(Options);
   std::string Problem;
   if (Parsed < -1)
-    Problem = std::string(poptBadOption(Options, 0)) + ": " +
-              poptStrerror(Parsed);
+    Problem =
+        std::string(poptBadOption(Options, 0)) + ": " + poptStrerror(Parsed);
   else if (poptPeekArg(Options) != nullptr)
     Problem = "takes no arguments besides options";
   poptFreeContext(Options);
--- a/apps/hyssop_mesh/mesh_daemon.cpp
+++ b/apps/hyssop_mesh/mesh_daemon.cpp
@@ -1,5 +1,6 @@
 #include "apps/hyssop_mesh/mesh_daemon.h"
 
+#include "hyssopledge/transport/compression.h"
 #include "hyssopledge/transport/logging.h"
 
 #include <boost/asio/post.hpp>
@@ -19,7 +20,9 @@
 
 constexpr milliseconds TickInterval{100};
 constexpr milliseconds LeaveCheckInterval{50};
-constexpr milliseconds FetchTimeout{800};
+// A compressed document of 100 KB takes 0.1 s on a link of 10 Mbit/s; several
+// daemons fetch it at once.
+constexpr milliseconds FetchTimeout{1500};
 // Callers stop coming after two questions without a 200, one a second; until
 // then their connections stay open.
 constexpr milliseconds CloseConnectionsAfter{1200};
@@ -101,8 +104,7 @@
   };
   PortHooks.OnCrash = [this](const std::vector<state::crash_sighting> &Seen) {
     logEvent(log_level::Warn, "upstream_crashed",
-             {{"upstream", Registry.record().Name},
-              {"requests", Seen.size()}});
+             {{"upstream", Registry.record().Name}, {"requests", Seen.size()}});
     Metrics.recordCrash();
     Port->addSightings(Seen);
     Agent->reportCrash(Seen);
@@ -125,18 +127,22 @@
   PlaneOptions.Peers.MaxIdle = 32;
   transport::mesh_plane_hooks PlaneHooks;
   PlaneHooks.Ping = [this](const std::string &Peer) { Agent->ping(Peer); };
-  PlaneHooks.DocumentText = [this] { return Agent->documentText(); };
-  auto Opened = transport::mesh_plane::open(
-      Context, std::move(PlaneOptions), std::move(PlaneHooks), Adapter.Calls,
-      *Port, Metrics);
+  PlaneHooks.DocumentText = [this] {
+    if (PackedDocument.empty() && !Agent->documentText().empty())
+      PackedDocument = transport::compressText(Agent->documentText());
+    return PackedDocument;
+  };
+  auto Opened = transport::mesh_plane::open(Context, std::move(PlaneOptions),
+                                            std::move(PlaneHooks),
+                                            Adapter.Calls, *Port, Metrics);
   if (Opened.has_error())
     return Opened.error();
   Plane = std::move(Opened.value());
 
-  const auto Listen = [&](std::unique_ptr<transport::http_listener> &Listener,
-                          const std::string &Address,
-                          transport::http_listener::handler Handler)
-      -> state::result<bool> {
+  const auto Listen =
+      [&](std::unique_ptr<transport::http_listener> &Listener,
+          const std::string &Address,
+          transport::http_listener::handler Handler) -> state::result<bool> {
     auto Bound = transport::http_listener::open({&Context}, Address, {},
                                                 std::move(Handler));
     if (Bound.has_error())
@@ -152,12 +158,12 @@
                           [this](auto Call) { onInstanceCall(Call); });
       Bound.has_error())
     return Bound;
-  if (auto Bound = Listen(Figures, Settings.MetricsAddress,
-                          [this](auto Call) {
-                            Call->respond(transport::plainAnswer(
-                                200, "text/plain; version=0.0.4",
-                                Metrics.text()));
-                          });
+  if (auto Bound =
+          Listen(Figures, Settings.MetricsAddress,
+                 [this](auto Call) {
+                   Call->respond(transport::plainAnswer(
+                       200, "text/plain; version=0.0.4", Metrics.text()));
+                 });
       Bound.has_error())
     return Bound;
   if (auto Bound = Datagrams.open(Settings.PeerAddress); Bound.has_error())
@@ -174,6 +180,7 @@
   AgentHooks.OnDocument =
       [this](std::shared_ptr<const state::route_table> Table) {
         Metrics.setVersions(Table->version(), Table->version());
+        PackedDocument.clear();
         Plane->setDocument(std::move(Table));
       };
   AgentHooks.OnDirectory = [this] { onDirectory(); };
@@ -231,14 +238,13 @@
   Pool.send(CallAddress, std::move(Request), boot_clock::now() + FetchTimeout,
             [Handler = std::move(Handler)](transport::exchange_result Result) {
               if (Result.End != transport::exchange_end::Whole)
-                return Handler(state::failure(state::errc::Unavailable,
-                                              Result.Detail));
+                return Handler(
+                    state::failure(state::errc::Unavailable, Result.Detail));
               if (Result.Response.result_int() != 200)
                 return Handler(state::failure(
                     state::errc::NotFound,
-                    "status " +
-                        std::to_string(Result.Response.result_int())));
-              Handler(std::move(Result.Response.body()));
+                    "status " + std::to_string(Result.Response.result_int())));
+              Handler(transport::decompressText(Result.Response.body()));
             });
 }
 
@@ -278,9 +284,9 @@
     const bool Missing = Read.error().is(state::errc::NotFound);
     logEvent(log_level::Warn, "announcement_refused",
              {{"reason", Read.error().text()}});
-    return Call->respond(transport::daemonAnswer(
-        Missing ? 404 : 400, transport::NotRun, "malformed-announcement",
-        Read.error().text()));
+    return Call->respond(
+        transport::daemonAnswer(Missing ? 404 : 400, transport::NotRun,
+                                "malformed-announcement", Read.error().text()));
   }
   if (Agent->formerUpstream())
     Registry.recall(*Agent->formerUpstream());
@@ -294,10 +300,9 @@
     if (Result.has_error()) {
       logEvent(log_level::Warn, "announcement_refused",
                {{"upstream", Said.Name}, {"reason", Result.error().text()}});
-      return Call->respond(
-          transport::daemonAnswer(400, transport::NotRun,
-                                  "foreign-announcement",
-                                  Result.error().text()));
+      return Call->respond(transport::daemonAnswer(400, transport::NotRun,
+                                                   "foreign-announcement",
+                                                   Result.error().text()));
     }
     Effect = Result.value();
   }
@@ -323,9 +328,9 @@
     return Call->respond(transport::daemonAnswer(404, transport::NotRun,
                                                  "no-route", "no such path"));
   const bool Usable = Agent->document() != nullptr && !Leaving;
-  Call->respond(transport::plainAnswer(
-      Usable ? 200 : 503, "application/json",
-      Usable ? "{\"ready\":true}" : "{\"ready\":false}"));
+  Call->respond(transport::plainAnswer(Usable ? 200 : 503, "application/json",
+                                       Usable ? "{\"ready\":true}"
+                                              : "{\"ready\":false}"));
 }
 
 //-----------------------------------------------------------------------------
@@ -333,17 +338,17 @@
 //-----------------------------------------------------------------------------
 
 void mesh_daemon::awaitSignal() {
-  Signals.async_wait([this](const boost::system::error_code &Error,
-                            int Number) {
-    if (Error)
-      return;
-    logEvent(log_level::Info, "signal", {{"number", Number}});
-    if (Number == SIGHUP)
-      Reload();
-    else if (!Leaving)
-      leave();
-    awaitSignal();
-  });
+  Signals.async_wait(
+      [this](const boost::system::error_code &Error, int Number) {
+        if (Error)
+          return;
+        logEvent(log_level::Info, "signal", {{"number", Number}});
+        if (Number == SIGHUP)
+          Reload();
+        else if (!Leaving)
+          leave();
+        awaitSignal();
+      });
 }
 
 void mesh_daemon::leave() {
--- a/apps/hyssop_mesh/mesh_daemon.h
+++ b/apps/hyssop_mesh/mesh_daemon.h
@@ -84,6 +84,7 @@
   std::unique_ptr<transport::http_listener> Figures; // metrics
   std::unique_ptr<state::timer_subscription> Tick;
   std::unique_ptr<state::timer_subscription> LeaveCheck;
+  std::string PackedDocument; // compressed for other daemons, empty: not yet
   bool DirectoryDirty = false;
   bool Leaving = false;
   state::time_point LeavingSince{};
--- a/hyssopledge/coordination/fleet_agent.cpp
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -133,8 +133,8 @@
     Hooks.OnDirectory();
 }
 
-/// Puts this daemon's record under a lease. A record of an earlier start is read
-/// before it is replaced, since it may tell of an upstream that has left.
+/// Puts this daemon's record under a lease. A record of an earlier start is
+/// read before it is replaced, since it may tell of an upstream that has left.
 void fleet_agent::registerSelf() {
   NextRegister = Timers.now() + std::chrono::seconds(2);
   if (Lease != 0)
@@ -160,9 +160,8 @@
     Txn.Conditions.push_back({Key, 0});
   Txn.Puts.push_back({Key, encodeMember(Self), Lease});
   Platform.commit(
-      std::move(Txn),
-      [this, Alive = Alive,
-       Key](const state::result<platform_txn_result> &Result) {
+      std::move(Txn), [this, Alive = Alive,
+                       Key](const state::result<platform_txn_result> &Result) {
         if (!*Alive)
           return;
         if (Result.has_error()) {
@@ -199,8 +198,8 @@
 void fleet_agent::renewRegistration() {
   NextRegister = Timers.now() + std::chrono::seconds(5);
   Platform.keepAlive(
-      Lease, [this, Alive = Alive](
-                 const state::result<std::chrono::seconds> &Result) {
+      Lease,
+      [this, Alive = Alive](const state::result<std::chrono::seconds> &Result) {
         if (!*Alive)
           return;
         if (!Result.has_error()) {
@@ -217,28 +216,28 @@
 
 void fleet_agent::readMembers() {
   NextMembers = Timers.now() + std::chrono::seconds(2);
-  Platform.get(
-      Dialect.membersPrefix(), true,
-      [this, Alive = Alive](const state::result<platform_read> &Read) {
-        if (!*Alive || Read.has_error())
-          return;
-        MembersRead = true;
-        std::vector<member_record> Records;
-        for (const platform_entry &Entry : Read.value().Entries) {
-          auto Record = decodeMember(Entry.Value);
-          if (Record.has_error())
-            log("member_ignored", "key=" + Entry.Key + " reason=\"" +
-                                      Record.error().text() + "\"");
-          else
-            Records.push_back(std::move(Record.value()));
-        }
-        log("members_read", "count=" + std::to_string(Records.size()) +
-                                " revision=" +
-                                std::to_string(Read.value().Revision));
-        mergeMembers(Records);
-        // The others may have read the members before this daemon was there.
-        announceSelf();
-      });
+  Platform.get(Dialect.membersPrefix(), true,
+               [this, Alive = Alive](const state::result<platform_read> &Read) {
+                 if (!*Alive || Read.has_error())
+                   return;
+                 MembersRead = true;
+                 std::vector<member_record> Records;
+                 for (const platform_entry &Entry : Read.value().Entries) {
+                   auto Record = decodeMember(Entry.Value);
+                   if (Record.has_error())
+                     log("member_ignored", "key=" + Entry.Key + " reason=\"" +
+                                               Record.error().text() + "\"");
+                   else
+                     Records.push_back(std::move(Record.value()));
+                 }
+                 log("members_read",
+                     "count=" + std::to_string(Records.size()) +
+                         " revision=" + std::to_string(Read.value().Revision));
+                 mergeMembers(Records);
+                 // The others may have read the members before this daemon was
+                 // there.
+                 announceSelf();
+               });
 }
 
 void fleet_agent::reportCrash(
@@ -394,7 +393,8 @@
   // that stays is repaired.
   const bool Differs = Message.Digest != Directory.digest();
   const bool Unknown = Directory.find(Message.From) == nullptr;
-  if (Differs && (Unknown || (Beacon.Differed && Beacon.Digest == Message.Digest))) {
+  if (Differs &&
+      (Unknown || (Beacon.Differed && Beacon.Digest == Message.Digest))) {
     sendTo(Message.ControlAddress, message(peer_message_kind::Sync));
     sendRecords(Message.ControlAddress);
     Beacon.Differed = false;
@@ -497,9 +497,10 @@
   if (Document && Table->version() <= Document->version())
     return false;
   log("document_in_force",
-      "version=" + std::to_string(Table->version()) + " former=" +
-          std::to_string(Document ? Document->version() : 0) + " source=" +
-          Source + " routes=" + std::to_string(Table->source().Routes.size()));
+      "version=" + std::to_string(Table->version()) +
+          " former=" + std::to_string(Document ? Document->version() : 0) +
+          " source=" + Source +
+          " routes=" + std::to_string(Table->source().Routes.size()));
   Document = Table;
   DocumentText = Text;
   if (Hooks.OnDocument)
@@ -534,7 +535,8 @@
     NextFollow = Now + Pace.RetryPause;
     readInput();
   }
-  if (Fetching && Now - FetchingSince < Pace.FetchPatience)
+  // The channel ends every fetch by its own time-out.
+  if (Fetching || Now - FetchingSince < Pace.FetchPause)
     return;
   Fetching = true;
   FetchingSince = Now;
@@ -561,8 +563,8 @@
 void fleet_agent::onOrder(const platform_entry &Entry) {
   auto Order = Dialect.readOrder(Entry.Value);
   if (Order.has_error()) {
-    log("order_refused", "key=" + Entry.Key + " reason=\"" +
-                             Order.error().text() + "\"");
+    log("order_refused",
+        "key=" + Entry.Key + " reason=\"" + Order.error().text() + "\"");
     return;
   }
   const auto Revision = static_cast<std::uint64_t>(Entry.ModRevision);
@@ -588,44 +590,44 @@
 /// The states that were written for finished rollouts, for daemons that start
 /// without a peer that knows them.
 void fleet_agent::readStatuses() {
-  Platform.get(
-      Dialect.statusPrefix(), true,
-      [this, Alive = Alive](const state::result<platform_read> &Read) {
-        if (!*Alive)
-          return;
-        if (Read.has_error()) {
-          log("status_read_failed", "reason=\"" + Read.error().text() + "\"");
-          return;
-        }
-        StatusesRead = true;
-        bool Changed = false;
-        for (const platform_entry &Entry : Read.value().Entries) {
-          auto Status = Dialect.readStatus(Entry.Key, Entry.Value);
-          if (Status.has_error()) {
-            log("status_ignored", "key=" + Entry.Key + " reason=\"" +
-                                      Status.error().text() + "\"");
-            continue;
-          }
-          rollout_record &Record = Status.value();
-          StatusRevisions[Record.Service] =
-              static_cast<std::uint64_t>(Entry.ModRevision);
-          const auto Followed = Orders.find(Record.Service);
-          if (Followed == Orders.end() ||
-              Followed->second.Order.ToVersion != Record.ToVersion ||
-              static_cast<std::uint64_t>(Entry.ModRevision) <
-                  Followed->second.Revision)
-            continue;
-          Followed->second.Written = Record.State;
-          if (Record.State == rollout_state::Running)
-            continue;
-          Record.Order = Followed->second.Revision;
-          Record.ShareBp =
-              Record.State == rollout_state::Completed ? 10'000 : 0;
-          Changed = Directory.merge(Record) || Changed;
-        }
-        if (Changed && Hooks.OnDirectory)
-          Hooks.OnDirectory();
-      });
+  Platform.get(Dialect.statusPrefix(), true,
+               [this, Alive = Alive](const state::result<platform_read> &Read) {
+                 if (!*Alive)
+                   return;
+                 if (Read.has_error()) {
+                   log("status_read_failed",
+                       "reason=\"" + Read.error().text() + "\"");
+                   return;
+                 }
+                 StatusesRead = true;
+                 bool Changed = false;
+                 for (const platform_entry &Entry : Read.value().Entries) {
+                   auto Status = Dialect.readStatus(Entry.Key, Entry.Value);
+                   if (Status.has_error()) {
+                     log("status_ignored", "key=" + Entry.Key + " reason=\"" +
+                                               Status.error().text() + "\"");
+                     continue;
+                   }
+                   rollout_record &Record = Status.value();
+                   StatusRevisions[Record.Service] =
+                       static_cast<std::uint64_t>(Entry.ModRevision);
+                   const auto Followed = Orders.find(Record.Service);
+                   if (Followed == Orders.end() ||
+                       Followed->second.Order.ToVersion != Record.ToVersion ||
+                       static_cast<std::uint64_t>(Entry.ModRevision) <
+                           Followed->second.Revision)
+                     continue;
+                   Followed->second.Written = Record.State;
+                   if (Record.State == rollout_state::Running)
+                     continue;
+                   Record.Order = Followed->second.Revision;
+                   Record.ShareBp =
+                       Record.State == rollout_state::Completed ? 10'000 : 0;
+                   Changed = Directory.merge(Record) || Changed;
+                 }
+                 if (Changed && Hooks.OnDirectory)
+                   Hooks.OnDirectory();
+               });
 }
 
 void fleet_agent::steerRollouts(time_point Now) {
--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -5,8 +5,9 @@
 ///
 /// Relays: in each data centre the daemon with the lowest name follows the
 /// platform's changes and tells the others, so that calls to the platform do
-/// not grow with the fleet. A daemon that hears no relay with a working platform
-/// takes over by itself; two relays at once cost calls but nothing else.
+/// not grow with the fleet. A daemon that hears no relay with a working
+/// platform takes over by itself; two relays at once cost calls but nothing
+/// else.
 ///
 /// Coordinator: the relay with the lowest name of all that reach the platform
 /// decides on rollouts. Two coordinators are told apart by the condition on the
@@ -70,13 +71,16 @@
 /// Pace of the agent. Each may be set smaller in tests.
 struct fleet_agent_pace {
   std::chrono::milliseconds Tick{100};
-  std::chrono::milliseconds BeaconNear{500};  // to the own data centre
-  std::chrono::milliseconds BeaconFar{1000};  // to the others
+  std::chrono::milliseconds BeaconNear{500}; // to the own data centre
+  std::chrono::milliseconds BeaconFar{1000}; // to the others
   /// A relay that was not heard for this long is replaced: three lost beacons.
   std::chrono::milliseconds RelaySilence{1700};
   std::chrono::milliseconds Evidence{150};
   /// A newer version that no peer could give is read from the platform.
-  std::chrono::milliseconds FetchPatience{600};
+  std::chrono::milliseconds FetchPatience{900};
+  /// Pause between two documents from peers, so that of a quick succession only
+  /// the last ones are fetched.
+  std::chrono::milliseconds FetchPause{250};
   std::chrono::milliseconds RetryPause{400}; // after a failed platform call
   std::chrono::seconds MemberLease{600};
   std::chrono::seconds MemberRenewal{200};
@@ -96,7 +100,9 @@
 
   const fleet_directory &directory() const { return Directory; }
   const member_record &self() const { return Self; }
-  std::shared_ptr<const state::route_table> document() const { return Document; }
+  std::shared_ptr<const state::route_table> document() const {
+    return Document;
+  }
   const std::string &documentText() const { return DocumentText; }
   /// What is known of this daemon's upstream from before its start.
   const std::optional<upstream_record> &formerUpstream() const {
@@ -222,7 +228,7 @@
   std::map<std::string, followed_order> Orders; // by service
   /// When each order was heard of first, by service and revision.
   std::map<std::pair<std::string, std::uint64_t>, state::time_point> FirstSeen;
-  std::map<std::string, evidence_row> Evidence; // by instance
+  std::map<std::string, evidence_row> Evidence;         // by instance
   std::map<std::string, std::uint64_t> StatusRevisions; // by service
   bool StatusesRead = false;
 
--- a/hyssopledge/coordination/fleet_directory.h
+++ b/hyssopledge/coordination/fleet_directory.h
@@ -23,10 +23,10 @@
   std::string Version;
   std::uint32_t Slots = 0;
   upstream_state State = upstream_state::None;
-  bool Answering = true;       // false: it refuses connections
-  bool Cold = false;           // slow because it has just started
-  std::uint64_t Born = 0;      // Unix milliseconds of its start
-  std::uint64_t Sequence = 0;  // of its newest announcement
+  bool Answering = true;      // false: it refuses connections
+  bool Cold = false;          // slow because it has just started
+  std::uint64_t Born = 0;     // Unix milliseconds of its start
+  std::uint64_t Sequence = 0; // of its newest announcement
 };
 
 struct member_record {
--- a/hyssopledge/coordination/peer_message.cpp
+++ b/hyssopledge/coordination/peer_message.cpp
@@ -76,8 +76,7 @@
 } // namespace
 
 std::string encodePeerMessage(const peer_message &M) {
-  json J = json::array(
-      {static_cast<int>(M.Kind), M.From, M.ControlAddress});
+  json J = json::array({static_cast<int>(M.Kind), M.From, M.ControlAddress});
   switch (M.Kind) {
   case peer_message_kind::Beacon:
     J.push_back(M.DataCentre);
--- a/hyssopledge/coordination/peer_message.h
+++ b/hyssopledge/coordination/peer_message.h
@@ -16,13 +16,14 @@
 namespace hyssopledge::coordination {
 
 enum class peer_message_kind : std::uint8_t {
-  Beacon = 1, // a relay's state; a receiver with another digest asks for records
-  Records,    // members and rollouts
-  Sync,       // asks for all records
-  Ping,       // asks for a Pong
+  Beacon =
+      1,   // a relay's state; a receiver with another digest asks for records
+  Records, // members and rollouts
+  Sync,    // asks for all records
+  Ping,    // asks for a Pong
   Pong,
-  Evidence,   // runs at one upstream during a rollout
-  Crash,      // a request was running when an upstream crashed
+  Evidence, // runs at one upstream during a rollout
+  Crash,    // a request was running when an upstream crashed
 };
 
 struct peer_message {
--- a/hyssopledge/coordination/rollout_pilot.cpp
+++ b/hyssopledge/coordination/rollout_pilot.cpp
@@ -27,8 +27,9 @@
 constexpr std::uint32_t UnprovenBp = 500;
 
 //--- Test ---------------------------------------------------------------------
-// A version is bad when its failures exceed what the old version's rate explains
-// by this many standard deviations, and by this much in absolute terms.
+// A version is bad when its failures exceed what the old version's rate
+// explains by this many standard deviations, and by this much in absolute
+// terms.
 constexpr double Deviations = 4;
 constexpr double LeastExcess = 0.04;
 // With this many failures, and a rate above the old version's by SuspectExcess,
@@ -50,16 +51,16 @@
 
 double meanMs(const run_count &Count) {
   const std::uint64_t Good = Count.Runs - std::min(Count.Failures, Count.Runs);
-  return Good == 0 ? 0
-                   : static_cast<double>(Count.TotalMs) /
-                         static_cast<double>(Good);
+  return Good == 0
+             ? 0
+             : static_cast<double>(Count.TotalMs) / static_cast<double>(Good);
 }
 
 std::string faultOf(const run_count &New, const run_count &Old, bool NewCold) {
   const double Expected = std::max(LeastRate, rate(Old));
   const auto Runs = static_cast<double>(New.Runs);
-  const double Limit =
-      Runs * Expected + Deviations * std::sqrt(Runs * Expected * (1 - Expected));
+  const double Limit = Runs * Expected +
+                       Deviations * std::sqrt(Runs * Expected * (1 - Expected));
   if (New.Failures >= LeastFailures &&
       static_cast<double>(New.Failures) > Limit &&
       rate(New) > rate(Old) + LeastExcess)
@@ -121,11 +122,10 @@
     Decision.Rule = "no upstream of the new version serves";
     return Decision;
   }
-  const double Part =
-      Input.Duration.count() <= 0
-          ? 1
-          : static_cast<double>(Input.Elapsed.count()) /
-                static_cast<double>(Input.Duration.count());
+  const double Part = Input.Duration.count() <= 0
+                          ? 1
+                          : static_cast<double>(Input.Elapsed.count()) /
+                                static_cast<double>(Input.Duration.count());
   std::uint32_t Share = 0;
   for (const ladder_step &Step : Ladder)
     if (Part >= Step.From)
--- a/hyssopledge/coordination/rollout_pilot.h
+++ b/hyssopledge/coordination/rollout_pilot.h
@@ -23,14 +23,14 @@
 using route_counts = std::map<std::string, run_count>; // by route
 
 struct pilot_input {
-  std::chrono::milliseconds Elapsed{}; // since the order was seen
-  std::chrono::milliseconds Duration{}; // from the order to its deadline
+  std::chrono::milliseconds Elapsed{};   // since the order was seen
+  std::chrono::milliseconds Duration{};  // from the order to its deadline
   std::chrono::milliseconds SinceStep{}; // since the share last changed
   std::uint32_t ShareBp = 0;
   std::uint32_t NewSlots = 0; // of serving upstreams of the new version
   std::uint32_t OldSlots = 0;
-  bool NewCold = false; // some upstream of the new version has just started
-  const route_counts &New;       // since the order
+  bool NewCold = false;    // some upstream of the new version has just started
+  const route_counts &New; // since the order
   const route_counts &NewInStep; // since the share last changed
   const route_counts &Old;       // since the order
 };
--- a/hyssopledge/coordination/upstream_registry.cpp
+++ b/hyssopledge/coordination/upstream_registry.cpp
@@ -41,16 +41,15 @@
     return registry_effect::Outdated;
   const bool Leaving =
       Same && Record.State != upstream_state::Serving; // never taken back
-  if (Leaving || (A.State == upstream_state::Serving &&
-                  hasLeft(A.Name, A.Born))) {
+  if (Leaving ||
+      (A.State == upstream_state::Serving && hasLeft(A.Name, A.Born))) {
     if (Same)
       Record.Sequence = A.Sequence;
     return registry_effect::Outdated;
   }
-  const bool Changed = !Same || Record.State != A.State ||
-                       Record.Slots != A.Slots ||
-                       Record.Cold != (A.ColdFor.count() > 0) ||
-                       Record.Version != A.Version;
+  const bool Changed =
+      !Same || Record.State != A.State || Record.Slots != A.Slots ||
+      Record.Cold != (A.ColdFor.count() > 0) || Record.Version != A.Version;
   Record.Name = A.Name;
   Record.Service = A.Service;
   Record.Version = A.Version;
--- a/hyssopledge/coordination/upstream_registry.h
+++ b/hyssopledge/coordination/upstream_registry.h
@@ -28,8 +28,8 @@
 };
 
 enum class registry_effect {
-  None,    // nothing new
-  Changed, // the record changed
+  None,     // nothing new
+  Changed,  // the record changed
   Outdated, // older than what is known
 };
 
--- a/hyssopledge/state/placement.cpp
+++ b/hyssopledge/state/placement.cpp
@@ -70,16 +70,14 @@
   const double Typical =
       KindMean == KindMs.end() ? UnknownLatencyMs : KindMean->second;
   for (const placement_candidate &Candidate : Candidates) {
-    if (std::find(Query.Tried.begin(), Query.Tried.end(),
-                  Candidate.Instance) != Query.Tried.end())
+    if (std::find(Query.Tried.begin(), Query.Tried.end(), Candidate.Instance) !=
+        Query.Tried.end())
       continue;
     const figures &Figures = Targets[Candidate.Instance];
     const auto Seen = Figures.LatencyMs.find(Query.Kind);
-    const double Run =
-        Seen == Figures.LatencyMs.end() ? Typical : Seen->second;
-    const double Ms =
-        (waitMs(Figures, Candidate.Slots, Query.Now) + Run) *
-        (1 + FailureCost * failureRate(Figures, Query.Now));
+    const double Run = Seen == Figures.LatencyMs.end() ? Typical : Seen->second;
+    const double Ms = (waitMs(Figures, Candidate.Slots, Query.Now) + Run) *
+                      (1 + FailureCost * failureRate(Figures, Query.Now));
     const bool Ejected = Query.Now < Figures.EjectedUntil;
     (Candidate.Reachable && !Ejected ? Usable : LastResort)
         .push_back({&Candidate, Ms});
--- a/hyssopledge/state/placement.h
+++ b/hyssopledge/state/placement.h
@@ -46,7 +46,7 @@
 };
 
 struct placement_choice {
-  std::string Instance;   // empty: no candidate is left
+  std::string Instance;     // empty: no candidate is left
   milliseconds Expected{0}; // latency
   bool Busy = false;        // it was expected to miss the aim
 };
@@ -82,7 +82,7 @@
 
 private:
   struct figures {
-    std::uint32_t InFlight = 0; // sent by this daemon, not ended
+    std::uint32_t InFlight = 0;  // sent by this daemon, not ended
     std::uint32_t SentSince = 0; // since the last report
     load_report Load;
     time_point LoadAt{};
--- a/hyssopledge/state/retry_allowance.h
+++ b/hyssopledge/state/retry_allowance.h
@@ -16,8 +16,8 @@
 namespace hyssopledge::state {
 
 struct retry_allowance_settings {
-  double Ratio = 0.2;             // repeats for each request, all daemons
-  double Slack = 64;              // repeats beyond Ratio in one window, all
+  double Ratio = 0.2;              // repeats for each request, all daemons
+  double Slack = 64;               // repeats beyond Ratio in one window, all
   std::chrono::seconds Window{10}; // over which both are counted
   /// Part of the budget that is used. The rest covers the calls that repeated
   /// requests make in turn, and windows that begin between two of ours.
--- a/hyssopledge/state/route_table.h
+++ b/hyssopledge/state/route_table.h
@@ -20,8 +20,8 @@
   /// InvalidDocument when a prefix does not begin and end with a slash, when a
   /// route names a service that the document lacks, or when weights are not
   /// usable.
-  static result<std::shared_ptr<const route_table>>
-  build(std::uint64_t Version, document Document);
+  static result<std::shared_ptr<const route_table>> build(std::uint64_t Version,
+                                                          document Document);
 
   std::uint64_t version() const { return Version; }
   const document &source() const { return Document; }
--- a/hyssopledge/state/slot_queue.cpp
+++ b/hyssopledge/state/slot_queue.cpp
@@ -173,9 +173,9 @@
 
 void slot_queue::start(const slot_request &Request, time_point Now) {
   if (isShort(Request) || onTime(Request, Now)) {
-    OnTimeMs = busyOnTime(Now) * static_cast<double>(BusyMemory.count()) *
-                   Slots +
-               static_cast<double>(mean(Request).count());
+    OnTimeMs =
+        busyOnTime(Now) * static_cast<double>(BusyMemory.count()) * Slots +
+        static_cast<double>(mean(Request).count());
     OnTimeAt = Now;
   }
   Running.push_back({Request.Ticket, Request.Kind, Now, mean(Request)});
@@ -193,9 +193,8 @@
   }
 }
 
-std::vector<slot_release> slot_queue::leave(std::uint64_t Ticket,
-                                            milliseconds RunTime,
-                                            time_point Now) {
+std::vector<slot_release>
+slot_queue::leave(std::uint64_t Ticket, milliseconds RunTime, time_point Now) {
   std::vector<slot_release> Out;
   const auto Found =
       std::find_if(Running.begin(), Running.end(),
--- a/hyssopledge/state/slot_queue.h
+++ b/hyssopledge/state/slot_queue.h
@@ -9,8 +9,8 @@
 ///   make every answer late; late ones use what is left.
 /// - Overload that lasts: a request that can't be answered in its time is
 ///   refused when it arrives, or when it misses its aim, and not when its
-///   deadline passes. Requests before their aim that will arrive are counted in,
-///   as they go first.
+///   deadline passes. Requests before their aim that will arrive are counted
+///   in, as they go first.
 /// - Chains of calls: the calls that running requests make are shorter than the
 ///   requests that callers send. Short requests go first, since they delay the
 ///   others little and their refusal would waste the run of their parent.
@@ -47,7 +47,7 @@
 struct slot_request {
   std::uint64_t Ticket = 0;
   std::string Kind;
-  bool MayBeLate = true; // false: refuse it when it would miss its aim
+  bool MayBeLate = true;      // false: refuse it when it would miss its aim
   std::uint32_t Priority = 0; // 0: most urgent
   milliseconds Guess{50};     // run time while none is known
   time_point AimAt{};         // full value until then
--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -87,9 +87,8 @@
   core(asio::io_context &Context, client_pool_options Options)
       : Context(Context), Options(Options), Sweep(Context) {}
 
-  std::unique_ptr<connection>
-  take(const std::string &Address,
-       std::optional<state::milliseconds> MaxIdle) {
+  std::unique_ptr<connection> take(const std::string &Address,
+                                   std::optional<state::milliseconds> MaxIdle) {
     const auto Found = Idle.find(Address);
     if (Found == Idle.end())
       return nullptr;
@@ -111,8 +110,7 @@
     return nullptr;
   }
 
-  void keep(const std::string &Address,
-            std::unique_ptr<connection> Connection,
+  void keep(const std::string &Address, std::unique_ptr<connection> Connection,
             std::optional<std::chrono::seconds> PeerLimit) {
     Connection->IdleLimit = Options.IdleTimeout;
     if (PeerLimit)
@@ -285,7 +283,8 @@
     // A connection on which a part of the request is still due is not used
     // again: other bytes would be read as that part.
     const bool Reusable = Parser->keep_alive() && WriteEnded && !WriteFailed &&
-                          !Parser->need_eof() && Connection->Buffer.size() == 0 && Status != 101;
+                          !Parser->need_eof() &&
+                          Connection->Buffer.size() == 0 && Status != 101;
     exchange_result Result;
     Result.End = exchange_end::Whole;
     Result.Connected = Opened;
@@ -358,9 +357,9 @@
 http_client_pool::send(const std::string &Address, http_request Request,
                        state::time_point Deadline, handler Handler,
                        send_options Options) {
-  auto Exchange = std::make_shared<exchange>(
-      Core, Address, std::move(Request), Deadline, std::move(Handler),
-      std::move(Options));
+  auto Exchange =
+      std::make_shared<exchange>(Core, Address, std::move(Request), Deadline,
+                                 std::move(Handler), std::move(Options));
   Exchange->start();
   return Exchange;
 }
--- a/hyssopledge/transport/http_client_pool.h
+++ b/hyssopledge/transport/http_client_pool.h
@@ -62,7 +62,7 @@
 struct exchange_result {
   exchange_end End = exchange_end::NotSent;
   exchange_cause Cause = exchange_cause::None;
-  std::string Detail; // for people; empty with Whole
+  std::string Detail;     // for people; empty with Whole
   bool Connected = false; // a connection was opened for the request
   http_response Response;
 };
@@ -89,11 +89,9 @@
 
   /// Sends the request to "ip:port". The handler is called once, from the loop
   /// and never from within send().
-  std::shared_ptr<client_exchange> send(const std::string &Address,
-                                        http_request Request,
-                                        state::time_point Deadline,
-                                        handler Handler,
-                                        send_options Options = {});
+  std::shared_ptr<client_exchange>
+  send(const std::string &Address, http_request Request,
+       state::time_point Deadline, handler Handler, send_options Options = {});
   void closeIdle(const std::string &Address); // kept connections to it
 
   std::size_t idle() const; // kept connections to all addresses
--- a/hyssopledge/transport/http_listener.cpp
+++ b/hyssopledge/transport/http_listener.cpp
@@ -97,7 +97,7 @@
   bool Reading = false;
   bool Writing = false;
   bool Lingering = false;
-  bool InputEnded = false;        // nothing more is parsed
+  bool InputEnded = false; // nothing more is parsed
   bool TimerArmed = false;
   state::time_point ExpectedBy{}; // input, or the connection is closed
   beast::flat_buffer Buffer;
@@ -194,8 +194,7 @@
 
 void http_listener::session::read() {
   // A whole header must fit, or its end would never be read.
-  const std::size_t MaxUnparsed =
-      MinUnparsed + Core->Options.MaxHeaderBytes;
+  const std::size_t MaxUnparsed = MinUnparsed + Core->Options.MaxHeaderBytes;
   if (Reading || Closed || Buffer.size() >= MaxUnparsed)
     return;
   Reading = true;
@@ -246,12 +245,12 @@
         Pending.empty()) {
       static constexpr std::string_view Continue =
           "HTTP/1.1 100 Continue\r\n\r\n";
-      asio::async_write(Socket, asio::buffer(Continue.data(), Continue.size()),
-                        [Self = shared_from_this()](const error_code &Failed,
-                                                    std::size_t) {
-                          if (Failed && !Self->Closed)
-                            Self->gone();
-                        });
+      asio::async_write(
+          Socket, asio::buffer(Continue.data(), Continue.size()),
+          [Self = shared_from_this()](const error_code &Failed, std::size_t) {
+            if (Failed && !Self->Closed)
+              Self->gone();
+          });
     }
     if (!Parser->is_done()) {
       if (Used == 0)
@@ -292,10 +291,10 @@
   Parser.reset();
   http_response Refusal;
   if (Error == http::error::body_limit)
-    Refusal = daemonAnswer(413, NotRun, "body-too-large",
-                           "the body is over " +
-                               std::to_string(Core->Options.MaxBodyBytes) +
-                               " bytes");
+    Refusal =
+        daemonAnswer(413, NotRun, "body-too-large",
+                     "the body is over " +
+                         std::to_string(Core->Options.MaxBodyBytes) + " bytes");
   else if (Error == http::error::header_limit)
     Refusal = daemonAnswer(431, NotRun, "header-too-large",
                            "the header is over " +
--- a/hyssopledge/transport/http_listener.h
+++ b/hyssopledge/transport/http_listener.h
@@ -38,7 +38,8 @@
   /// Keep-alive and length fields are set here.
   virtual void respond(http_response Response) = 0;
   /// The handler is called when the caller closes its connection, or the
-  /// connection fails, before the answer. A caller that closes its sending side only counts as gone.
+  /// connection fails, before the answer. A caller that closes its sending side
+  /// only counts as gone.
   virtual void onCancel(std::function<void()> Handler) = 0;
   /// Position of its loop in the listener's list.
   virtual std::size_t loop() const = 0;
--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -85,7 +85,8 @@
       return refuse("no-document", NotReadyRetryAfter);
     Table = Plane.Table;
     const auto Host = Request[boost::beast::http::field::host];
-    Route = Table->match({Host.data(), Host.size()}, {Path.data(), Path.size()});
+    Route =
+        Table->match({Host.data(), Host.size()}, {Path.data(), Path.size()});
     if (Route == nullptr)
       return answerOwn(404, NotRun, "no-route");
     const milliseconds Given = Facts.TimeLeft.value_or(DefaultTime);
@@ -111,17 +112,24 @@
     attempt();
   }
 
-  /// The daemon that has the request gives no sign of life.
+  /// The daemon that has the request gives no sign of life. Silence ends no
+  /// request: it is sent elsewhere, or its answer is awaited.
   void onPeerLost() {
-    if (!Repeatable || !Sending)
-      return; // its answer may still come, and nothing else can be done
-    hop_answer Answer;
-    Answer.Outcome = hop_outcome::Unknown;
-    Answer.Reason = "peer-lost";
+    const state::time_point Now = boot_clock::now();
+    if (!Sending || Sends + 1 >= Route->MaxAttempts || !mayRepeat(Now))
+      return;
     Sending->cancel();
     Sending = nullptr;
     ++Epoch; // the cancelled exchange reports nothing more
-    onEnd(std::move(Answer));
+    forgetPeer();
+    Plane.Placement.onEnd(Target.Upstream, Route->Name,
+                          state::placement_outcome::Failed, milliseconds(0),
+                          Now);
+    ++Sends;
+    MayHaveRun = true;
+    LastReason = "peer-lost";
+    Dead.push_back(Target.Upstream);
+    attempt();
   }
 
   /// This daemon ends before the answer.
@@ -142,8 +150,7 @@
     std::vector<double> Weights;
     for (const state::traffic_share &Part : Route->Split)
       Weights.push_back(Part.Weight);
-    Service =
-        Route->Split[Plane.SplitTurns[Route->Name].next(Weights)].Service;
+    Service = Route->Split[Plane.SplitTurns[Route->Name].next(Weights)].Service;
   }
 
   /// The first attempt chooses the version by the share; a repeat never moves
@@ -213,12 +220,12 @@
     const std::uint64_t Sent = ++Epoch;
     if (To.Instance == Plane.Options.Instance) {
       // The handler may be called before run() returns.
-      auto Exchange = Plane.Port.run(
-          std::move(Hop), Caller->request(),
-          [Self = shared_from_this(), Sent](hop_answer Answer) {
-            if (Sent == Self->Epoch)
-              Self->onEnd(std::move(Answer));
-          });
+      auto Exchange =
+          Plane.Port.run(std::move(Hop), Caller->request(),
+                         [Self = shared_from_this(), Sent](hop_answer Answer) {
+                           if (Sent == Self->Epoch)
+                             Self->onEnd(std::move(Answer));
+                         });
       if (Sent == Epoch && !Done)
         Here = std::move(Exchange);
       return;
@@ -283,13 +290,14 @@
     const unsigned Status =
         Answer.Outcome == hop_outcome::Ran ? Answer.Response.result_int() : 0;
     const bool Failed = Status >= 500 || Answer.Outcome == hop_outcome::Unknown;
-    Plane.Placement.onEnd(
-        Target.Upstream, Route->Name,
-        Answer.Outcome == hop_outcome::NotRun ? state::placement_outcome::Refused
-        : Failed && Status != 504 ? state::placement_outcome::Failed
-        : Failed                  ? state::placement_outcome::Refused
-                                  : state::placement_outcome::Answered,
-        Latency, Now);
+    Plane.Placement.onEnd(Target.Upstream, Route->Name,
+                          Answer.Outcome == hop_outcome::NotRun
+                              ? state::placement_outcome::Refused
+                          : Failed && Status != 504
+                              ? state::placement_outcome::Failed
+                          : Failed ? state::placement_outcome::Refused
+                                   : state::placement_outcome::Answered,
+                          Latency, Now);
     if (Answer.Load)
       Plane.Placement.onLoad(Target.Upstream, *Answer.Load, Now);
     if (Answer.Outcome != hop_outcome::NotRun || Answer.Arrived)
@@ -310,8 +318,8 @@
     }
     if (Answer.Outcome == hop_outcome::Ran)
       return deliver(std::move(Answer));
-    answerOwn(Answer.Reason == "timeout" || Now >= Deadline ? 504 : 502, Unknown,
-              Answer.Reason.c_str());
+    answerOwn(Answer.Reason == "timeout" || Now >= Deadline ? 504 : 502,
+              Unknown, Answer.Reason.c_str());
   }
 
   void onNotRun(hop_answer Answer, state::time_point Now) {
@@ -343,23 +351,22 @@
     milliseconds Wait = LeastRetryAfter;
     const auto Known = Plane.Services.find(Service);
     if (Known != Plane.Services.end())
-      Wait = std::max(Wait, Plane.Placement.shortestWait(
-                                Plane.candidates(Known->second, false, true),
-                                Now));
+      Wait = std::max(Wait,
+                      Plane.Placement.shortestWait(
+                          Plane.candidates(Known->second, false, true), Now));
     refuse(Reason, Wait);
   }
 
   /// "Not run": the caller may come back when the backlog is expected to be
   /// gone, spread over the rest of the time that it honours.
   void refuse(const char *Reason, milliseconds Backlog) {
-    const milliseconds Most = std::max(
-        inMilliseconds(Deadline - boot_clock::now()) / RetryAfterPart,
-        milliseconds(0));
+    const milliseconds Most =
+        std::max(inMilliseconds(Deadline - boot_clock::now()) / RetryAfterPart,
+                 milliseconds(0));
     const milliseconds Least = std::min(Backlog, Most);
     const auto Spread = static_cast<std::uint64_t>((Most - Least).count());
-    RetryAfter =
-        Least + milliseconds(static_cast<std::int64_t>(
-                    state::uniformBelow(Plane.Random, Spread + 1)));
+    RetryAfter = Least + milliseconds(static_cast<std::int64_t>(
+                             state::uniformBelow(Plane.Random, Spread + 1)));
     if (!Table)
       RetryAfter = Backlog;
     answerOwn(503, NotRun, Reason);
@@ -412,13 +419,14 @@
   }
 
   void logRetry(const hop_answer &Answer) const {
-    logEvent(log_level::Info, "retry",
-             {{"id", Id},
-              {"service", Service},
-              {"upstream", Target.Upstream},
-              {"reason", Answer.Reason.empty() ? "failed" : Answer.Reason},
-              {"sends", Sends},
-              {"left_ms", inMilliseconds(Deadline - boot_clock::now()).count()}});
+    logEvent(
+        log_level::Info, "retry",
+        {{"id", Id},
+         {"service", Service},
+         {"upstream", Target.Upstream},
+         {"reason", Answer.Reason.empty() ? "failed" : Answer.Reason},
+         {"sends", Sends},
+         {"left_ms", inMilliseconds(Deadline - boot_clock::now()).count()}});
   }
 
   void logEnd(unsigned Status, const char *Outcome, const char *Reason) const {
@@ -491,25 +499,24 @@
 mesh_plane::open(asio::io_context &Context, mesh_plane_options Options,
                  mesh_plane_hooks Hooks, const call_dialect &Dialect,
                  upstream_port &Port, metrics &Metrics) {
-  std::unique_ptr<mesh_plane> Plane(
-      new mesh_plane(Context, std::move(Options), std::move(Hooks), Dialect,
-                     Port, Metrics));
+  std::unique_ptr<mesh_plane> Plane(new mesh_plane(
+      Context, std::move(Options), std::move(Hooks), Dialect, Port, Metrics));
   mesh_plane *const Raw = Plane.get();
   listener_options Callers;
   Callers.MaxPipelined = 16;
-  auto Entry = http_listener::open(
-      {&Context}, Plane->Options.EntryAddress, Callers,
-      [Raw](std::shared_ptr<server_exchange> Caller) {
-        Raw->onCaller(std::move(Caller));
-      });
+  auto Entry =
+      http_listener::open({&Context}, Plane->Options.EntryAddress, Callers,
+                          [Raw](std::shared_ptr<server_exchange> Caller) {
+                            Raw->onCaller(std::move(Caller));
+                          });
   if (Entry.has_error())
     return Entry.error();
   listener_options Daemons;
-  auto Hop = http_listener::open(
-      {&Context}, Plane->Options.HopAddress, Daemons,
-      [Raw](std::shared_ptr<server_exchange> Caller) {
-        Raw->onHop(std::move(Caller));
-      });
+  auto Hop =
+      http_listener::open({&Context}, Plane->Options.HopAddress, Daemons,
+                          [Raw](std::shared_ptr<server_exchange> Caller) {
+                            Raw->onHop(std::move(Caller));
+                          });
   if (Hop.has_error())
     return Hop.error();
   Plane->Entry = std::move(Entry.value());
@@ -590,7 +597,7 @@
     if (Caller->request().target() == DocumentPath) {
       const std::string Text = Hooks.DocumentText();
       return Caller->respond(
-          plainAnswer(Text.empty() ? 404 : 200, "application/json", Text));
+          plainAnswer(Text.empty() ? 404 : 200, "application/octet-stream", Text));
     }
     return Caller->respond(
         daemonAnswer(400, NotRun, "malformed-hop", "not a call of a daemon"));
@@ -607,18 +614,18 @@
     if (*Exchange)
       (*Exchange)->cancel();
   });
-  *Exchange = Port.run(
-      std::move(Call.value()), std::move(Request),
-      [this, Caller, Started](hop_answer Answer) {
-        if (Answer.Outcome != hop_outcome::Ran && !Answer.Arrived)
-          Answer.Response = daemonAnswer(
-              Answer.Outcome == hop_outcome::NotRun ? 503 : 502,
-              wordOf(Answer.Outcome), Answer.Reason, "see the reason");
-        writeHopAnswer(Answer);
-        Metrics.recordCall(call_side::Target, wordOf(Answer.Outcome),
-                           Answer.Reason, boot_clock::now() - Started);
-        Caller->respond(std::move(Answer.Response));
-      });
+  *Exchange =
+      Port.run(std::move(Call.value()), std::move(Request),
+               [this, Caller, Started](hop_answer Answer) {
+                 if (Answer.Outcome != hop_outcome::Ran && !Answer.Arrived)
+                   Answer.Response = daemonAnswer(
+                       Answer.Outcome == hop_outcome::NotRun ? 503 : 502,
+                       wordOf(Answer.Outcome), Answer.Reason, "see the reason");
+                 writeHopAnswer(Answer);
+                 Metrics.recordCall(call_side::Target, wordOf(Answer.Outcome),
+                                    Answer.Reason, boot_clock::now() - Started);
+                 Caller->respond(std::move(Answer.Response));
+               });
 }
 
 void mesh_plane::onSignOfLife(const std::string &Instance) {
--- a/hyssopledge/transport/mesh_plane.h
+++ b/hyssopledge/transport/mesh_plane.h
@@ -32,7 +32,7 @@
 struct mesh_plane_options {
   std::string Instance;
   std::string DataCentre;
-  std::string Service;     // of the upstream here; its calls carry it
+  std::string Service;      // of the upstream here; its calls carry it
   std::string EntryAddress; // for callers
   std::string HopAddress;   // for other daemons
   std::uint64_t Seed = 0;
@@ -43,7 +43,7 @@
 struct mesh_plane_hooks {
   /// Asks another daemon for a sign of life.
   std::function<void(const std::string &Instance)> Ping;
-  /// The text of the document in force, empty when there is none.
+  /// The compressed text of the document in force, empty when there is none.
   std::function<std::string()> DocumentText;
 };
 
--- a/hyssopledge/transport/upstream_port.cpp
+++ b/hyssopledge/transport/upstream_port.cpp
@@ -197,9 +197,9 @@
 }
 
 state::load_report upstream_port::load() const {
-  return {Queue.running(), Queue.waiting(), Queue.slots(),
-          std::min(Queue.expectedWait(boot_clock::now()),
-                   milliseconds(60'000))};
+  return {
+      Queue.running(), Queue.waiting(), Queue.slots(),
+      std::min(Queue.expectedWait(boot_clock::now()), milliseconds(60'000))};
 }
 
 hop_answer upstream_port::refusal(const char *Reason) const {
@@ -233,9 +233,8 @@
     return nullptr;
   }
   const std::uint64_t Ticket = ++LastTicket;
-  auto Exchange =
-      std::make_shared<exchange>(*this, Ticket, std::move(Call),
-                                 std::move(Request), std::move(Handler));
+  auto Exchange = std::make_shared<exchange>(
+      *this, Ticket, std::move(Call), std::move(Request), std::move(Handler));
   const state::time_point Now = boot_clock::now();
   if (AnySighting && Poison.isPoison(Exchange->fingerprint(), Now)) {
     Exchange->refuse("poison");
@@ -247,8 +246,8 @@
   Slot.Kind = Kept.Route;
   Slot.MayBeLate = Kept.MayBeLate;
   Slot.Priority = Kept.Priority;
-  Slot.Guess = Kept.AimLeft.count() > 0 ? Kept.AimLeft / GuessPartOfAim
-                                        : DefaultGuess;
+  Slot.Guess =
+      Kept.AimLeft.count() > 0 ? Kept.AimLeft / GuessPartOfAim : DefaultGuess;
   Slot.AimAt = Exchange->AimAt;
   Slot.Deadline = Exchange->Deadline;
   const state::slot_decision Decision = Queue.enter(Slot, Now);
@@ -358,6 +357,7 @@
     setAnswering(false);
     if (WasAnswering && !Suspects.empty() && Hooks.OnCrash) {
       std::vector<state::crash_sighting> Sightings;
+      Sightings.reserve(Suspects.size());
       for (const std::uint64_t Fingerprint : Suspects)
         Sightings.push_back({Fingerprint, Upstream.Name, Upstream.Born,
                              static_cast<std::uint32_t>(Suspects.size())});
--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -36,7 +36,8 @@
   fleet() : Platform([this] { return Timers.now(); }) {}
 
   struct node final : coordination::peer_channel {
-    node(fleet &Fleet, std::string Name) : Fleet(Fleet), Name(std::move(Name)) {}
+    node(fleet &Fleet, std::string Name)
+        : Fleet(Fleet), Name(std::move(Name)) {}
 
     void send(const std::string &ControlAddress,
               const std::string &Datagram) override {
@@ -219,10 +220,25 @@
   CHECK(allHave(*Fleet, 77));
 }
 
+TEST_CASE("of a quick succession daemons fetch only some documents") {
+  auto Fleet = sixDaemons();
+  const unsigned Before = Fleet->Fetches;
+  for (int Version = 2; Version < 52; ++Version) {
+    Fleet->put("op/config", documentText(Version));
+    Fleet->run(milliseconds(100));
+  }
+  Fleet->run(milliseconds(1000));
+  CHECK(allHave(*Fleet, 51));
+  // 5 s with at most one fetch in 250 ms by each of the four daemons that are
+  // not relays; a relay may fetch as well when another one is ahead.
+  CHECK(Fleet->Fetches - Before <= 6 * 24);
+}
+
 TEST_CASE("a document that can't be read changes nothing") {
   auto Fleet = sixDaemons();
-  for (const char *Text : {"", "{", "[]", R"({"version":"x"})",
-                           R"({"version":9,"services":[],"virtualHosts":[{}]})"}) {
+  for (const char *Text :
+       {"", "{", "[]", R"({"version":"x"})",
+        R"({"version":9,"services":[],"virtualHosts":[{}]})"}) {
     Fleet->put("op/config", Text);
     Fleet->run(milliseconds(700));
     CHECK(allHave(*Fleet, 1));
@@ -256,10 +272,8 @@
   Fleet->run(milliseconds(3000));
   Fleet->serve("b-3", "v1");
   Fleet->run(milliseconds(200));
-  CHECK(Fleet->Nodes.at("a-1")
-            ->Agent->directory()
-            .find("b-3")
-            ->Upstream.Name == "i-b-3");
+  CHECK(Fleet->Nodes.at("a-1")->Agent->directory().find("b-3")->Upstream.Name ==
+        "i-b-3");
 }
 
 TEST_CASE("a restarted daemon learns what its upstream had said") {
@@ -282,10 +296,9 @@
   Fleet->Datagrams.clear(); // none of them arrives
   Fleet->run(milliseconds(3000));
   for (const std::string &Name : Six)
-    CHECK(Fleet->Nodes.at(Name)
-              ->Agent->directory()
-              .find("a-2")
-              ->Upstream.Name == "i-a-2");
+    CHECK(
+        Fleet->Nodes.at(Name)->Agent->directory().find("a-2")->Upstream.Name ==
+        "i-a-2");
 }
 
 TEST_CASE("rollouts end as the evidence says, under faults") {
@@ -298,8 +311,8 @@
   const rollout_case Cases[] = {
       {"good", false, [](fleet &) {}, "completed"},
       {"bad", true, [](fleet &) {}, "rolled_back"},
-      {"good, the coordinator ends", false,
-       [](fleet &F) { F.remove("a-1"); }, "completed"},
+      {"good, the coordinator ends", false, [](fleet &F) { F.remove("a-1"); },
+       "completed"},
       {"bad, the coordinator ends", true, [](fleet &F) { F.remove("a-1"); },
        "rolled_back"},
       {"good, an answer of the platform is lost", false,
@@ -322,8 +335,7 @@
       Fleet->run(milliseconds(100));
       const auto *Rollout =
           Fleet->Nodes.at("b-2")->Agent->directory().rollout("pages");
-      const std::uint32_t ShareBp =
-          coordination::versionRule(Rollout).ShareBp;
+      const std::uint32_t ShareBp = coordination::versionRule(Rollout).ShareBp;
       const auto Answer = [&](const char *Name, std::uint64_t Runs, bool Bad) {
         auto &Count = Fleet->Nodes.at(Name)->Counts["r"];
         Count.Runs += Runs;
--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -222,8 +222,8 @@
   Message.From = "a-1";
   Message.ControlAddress = "10.0.0.1:7620";
   for (int I = 0; I < 23; ++I) {
-    member_record Record = member(("member-" + std::to_string(I)).c_str(), 3,
-                                  std::uint64_t(I));
+    member_record Record =
+        member(("member-" + std::to_string(I)).c_str(), 3, std::uint64_t(I));
     Record.Upstream.Name = "i-7f3a91c2";
     Record.Upstream.State = upstream_state::Draining;
     Message.Members.push_back(Record);
@@ -349,10 +349,10 @@
     std::uint32_t BadFromBp; // and from this share on
     int BadOneOf;            // one of so many requests fails
   };
-  for (const bad_case &Case : {bad_case{"at once", 0, 0, 2},
-                               bad_case{"after 3.4 s", 3400, 0, 2},
-                               bad_case{"under load", 0, 4000, 2},
-                               bad_case{"under load, partly", 0, 4000, 8}}) {
+  for (const bad_case &Case :
+       {bad_case{"at once", 0, 0, 2}, bad_case{"after 3.4 s", 3400, 0, 2},
+        bad_case{"under load", 0, 4000, 2},
+        bad_case{"under load, partly", 0, 4000, 8}}) {
     CAPTURE(std::string(Case.Name));
     constexpr int PerSecond = 200;
     constexpr int DurationMs = 16'000;
@@ -392,10 +392,10 @@
         StepBp = ShareBp;
         AtStep = New;
       }
-      const route_counts InStep{{"page",
-                                 {New.Runs - AtStep.Runs,
-                                  New.Failures - AtStep.Failures,
-                                  New.TotalMs - AtStep.TotalMs}}};
+      const route_counts InStep{
+          {"page",
+           {New.Runs - AtStep.Runs, New.Failures - AtStep.Failures,
+            New.TotalMs - AtStep.TotalMs}}};
       const pilot_input Input{milliseconds(Ms),
                               milliseconds(DurationMs),
                               milliseconds(Ms - SteppedAt),
--- a/tests/kv_store_test.cpp
+++ b/tests/kv_store_test.cpp
@@ -97,8 +97,7 @@
   return Txn;
 }
 
-state::result<coordination::platform_txn_result>
-commit(scripted_store &Store) {
+state::result<coordination::platform_txn_result> commit(scripted_store &Store) {
   return call<coordination::platform_txn_result>(
       Store, [&](auto Handler) { Store.Store->commit(someTxn(), Handler); });
 }
@@ -202,18 +201,13 @@
 TEST_CASE("leases") {
   scripted_store Store;
   Store.answer(200, R"({"lease":77120,"ttlMs":3000})");
-  CHECK(call<std::int64_t>(Store,
-                           [&](auto Handler) {
-                             Store.Store->grantLease(std::chrono::seconds(3),
-                                                     Handler);
-                           })
-            .value() == 77120);
+  CHECK(call<std::int64_t>(Store, [&](auto Handler) {
+          Store.Store->grantLease(std::chrono::seconds(3), Handler);
+        }).value() == 77120);
   CHECK(json::parse(Store.Seen[0].second)["ttlMs"] == 3000);
   Store.answer(404, "{}");
-  CHECK(call<std::chrono::seconds>(Store,
-                                   [&](auto Handler) {
-                                     Store.Store->keepAlive(5, Handler);
-                                   })
+  CHECK(call<std::chrono::seconds>(
+            Store, [&](auto Handler) { Store.Store->keepAlive(5, Handler); })
             .error()
             .is(errc::NotFound));
   CHECK(Store.Seen[1].first == "POST /api/kv-keep/5");
@@ -233,14 +227,13 @@
   Store.answer(410, "{}");
   std::vector<coordination::platform_event> Events;
   std::optional<state::failure> Failure;
-  const auto Watch = Store.Store->watch(
-      "a/", true, 12, [&](auto Result) {
-        if (Result.has_error())
-          Failure = Result.error();
-        else
-          for (auto &Event : Result.value())
-            Events.push_back(Event);
-      });
+  const auto Watch = Store.Store->watch("a/", true, 12, [&](auto Result) {
+    if (Result.has_error())
+      Failure = Result.error();
+    else
+      for (auto &Event : Result.value())
+        Events.push_back(Event);
+  });
   REQUIRE(Store.runUntil([&] { return Failure.has_value(); }));
   CHECK(Failure->is(errc::StaleVersion));
   REQUIRE(Events.size() == 2); // the unreadable one is left out
@@ -254,7 +247,8 @@
         "GET /api/kv-watch?prefix=a/&after=20&waitMs=100");
 }
 
-TEST_CASE("a watch that gets no answer fails, and one that is ended says nothing") {
+TEST_CASE(
+    "a watch that gets no answer fails, and one that is ended says nothing") {
   scripted_store Store;
   std::optional<state::failure> Failure;
   auto Watch = Store.Store->watch("a/", true, 1, [&](auto Result) {
--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -244,10 +244,12 @@
                "Content-Length: 1\r\n\r\nx"),
        200, 200},
       {"answer to another request first",
-       sending(Head + Signed + "Attempt-Id: other\r\nContent-Length: 5\r\n\r\n"
-                               "wrong" +
-               Head + Signed + "Attempt-Id: a1\r\nContent-Length: 5\r\n\r\n"
-                               "right"),
+       sending(Head + Signed +
+               "Attempt-Id: other\r\nContent-Length: 5\r\n\r\n"
+               "wrong" +
+               Head + Signed +
+               "Attempt-Id: a1\r\nContent-Length: 5\r\n\r\n"
+               "right"),
        200, 200},
   };
   for (const answer_case &Case : Cases)
@@ -262,9 +264,9 @@
         Mesh.Directory.merge(Slow);
         Mesh.Entry.Plane->setDirectory(Mesh.Directory);
       });
-      const auto Response = Mesh.call(
-          Safe ? shopRequest(http::verb::get, "/look/1")
-               : shopRequest(http::verb::post, "/book/1", "b"));
+      const auto Response =
+          Mesh.call(Safe ? shopRequest(http::verb::get, "/look/1")
+                         : shopRequest(http::verb::post, "/book/1", "b"));
       CHECK(Response.result_int() == (Safe ? Case.Safe : Case.Unsafe));
       CHECK(Response.body() != "wrong");
       CHECK(Response.body() != "abc");
@@ -276,9 +278,10 @@
   mesh Mesh({[&](upstream_connection &Connection) {
     while (Connection.read()) {
       ++Requests;
-      Connection.send("HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n"
-                      "Content-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\n"
-                      "Response-Signature: s\r\nContent-Length: 5\r\n\r\nextra");
+      Connection.send(
+          "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n"
+          "Content-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\n"
+          "Response-Signature: s\r\nContent-Length: 5\r\n\r\nextra");
     }
   }});
   for (int I = 0; I < 3; ++I)
@@ -286,7 +289,8 @@
   CHECK(Requests == 3);
 }
 
-TEST_CASE("requests sent behind each other run together, answers keep the order") {
+TEST_CASE(
+    "requests sent behind each other run together, answers keep the order") {
   gate Second;
   mesh Mesh({[&](upstream_connection &Connection) {
     while (auto Request = Connection.read()) {
@@ -365,16 +369,12 @@
        },
        "/book/1", 503, true},
       {"its daemon leaves",
-       [](mesh &M) {
-         M.Targets[0]->run([&] { M.Targets[0]->Port->close(); });
-       },
+       [](mesh &M) { M.Targets[0]->run([&] { M.Targets[0]->Port->close(); }); },
        "/book/1", 503, true},
       {"upstream refuses connections",
        [](mesh &M) { M.Upstreams[0]->stopListening(); }, "/book/1", 503, true},
       {"no target is known",
-       [](mesh &M) {
-         M.Entry.run([&] { M.Entry.Plane->setDirectory({}); });
-       },
+       [](mesh &M) { M.Entry.run([&] { M.Entry.Plane->setDirectory({}); }); },
        "/book/1", 503, true},
       {"this daemon leaves",
        [](mesh &M) { M.Entry.run([&] { M.Entry.Plane->refuseCallers(); }); },
@@ -407,13 +407,15 @@
   };
   const std::string Start = "POST /book/1 HTTP/1.1\r\nHost: shop.example\r\n"
                             "Attempt-Id: a1\r\nDeadline-Ms: 4000\r\n";
-  const std::string Inner = "GET /look/9 HTTP/1.1\r\nHost: shop.example\r\n\r\n";
+  const std::string Inner =
+      "GET /look/9 HTTP/1.1\r\nHost: shop.example\r\n\r\n";
   const input_case Cases[] = {
       {"two lengths",
        Start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
       {"length and chunks",
-       Start + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
-               "0\r\n\r\n" +
+       Start +
+           "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "0\r\n\r\n" +
            Inner,
        400},
       {"length that is no number", Start + "Content-Length: 1x\r\n\r\na", 400},
--- a/tests/mesh_state_test.cpp
+++ b/tests/mesh_state_test.cpp
@@ -128,9 +128,9 @@
     int Daemons;
     int RequestsPerSecond; // of each daemon
   };
-  for (const budget_case &Case : {budget_case{"small", 4, 50},
-                                  budget_case{"usual", 16, 20},
-                                  budget_case{"idle", 58, 0}}) {
+  for (const budget_case &Case :
+       {budget_case{"small", 4, 50}, budget_case{"usual", 16, 20},
+        budget_case{"idle", 58, 0}}) {
     CAPTURE(std::string(Case.Name));
     retry_allowance_settings Settings;
     std::vector<retry_allowance> Daemons(std::size_t(Case.Daemons),
@@ -144,8 +144,8 @@
       for (retry_allowance &Daemon : Daemons) {
         Daemon.setDaemons(std::size_t(Case.Daemons));
         for (int I = 0; I < std::max(1, Case.RequestsPerSecond); ++I) {
-          const time_point Now = Start + std::chrono::seconds(Second) +
-                                 milliseconds(I * 10);
+          const time_point Now =
+              Start + std::chrono::seconds(Second) + milliseconds(I * 10);
           if (Case.RequestsPerSecond > 0) {
             Daemon.onRequest("pages", Now);
             ++Sent;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -16,7 +16,8 @@
 constexpr int Draws = 400;
 
 std::vector<placement_candidate> threeTargets() {
-  return {{"near", true, true, 12}, {"far-1", false, true, 12},
+  return {{"near", true, true, 12},
+          {"far-1", false, true, 12},
           {"far-2", false, true, 12}};
 }
 
@@ -37,9 +38,9 @@
 }
 
 /// How often each target is chosen, each choice ending at once.
-std::map<std::string, int>
-choices(placement &Placement, const std::vector<placement_candidate> &From,
-        const placement_query &Query) {
+std::map<std::string, int> choices(placement &Placement,
+                                   const std::vector<placement_candidate> &From,
+                                   const placement_query &Query) {
   random_engine Random(3);
   std::map<std::string, int> Count;
   for (int I = 0; I < Draws; ++I)
@@ -53,7 +54,7 @@
   struct choice_case {
     const char *Name;
     std::function<void(placement &)> Before;
-    const char *Most; // gets most of the choices
+    const char *Most;  // gets most of the choices
     const char *Least; // gets at most 5 % of them
   };
   const choice_case Cases[] = {
@@ -132,9 +133,8 @@
 
 TEST_CASE("equal targets share the requests") {
   placement Placement;
-  const std::vector<placement_candidate> From = {{"a", true, true, 12},
-                                                 {"b", true, true, 12},
-                                                 {"c", true, true, 12}};
+  const std::vector<placement_candidate> From = {
+      {"a", true, true, 12}, {"b", true, true, 12}, {"c", true, true, 12}};
   for (const char *Name : {"a", "b", "c"})
     learn(Placement, Name, placement_outcome::Answered, 100);
   auto Count = choices(Placement, From, query());
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -197,16 +197,15 @@
         R"({"service":"","toVersion":"v2","durationS":3})",
         R"({"service":"pages","toVersion":2,"durationS":3})"})
     CHECK(Codec.readOrder(Text).has_error());
-  for (const auto State :
-       {coordination::rollout_state::Running,
-        coordination::rollout_state::Completed,
-        coordination::rollout_state::RolledBack}) {
+  for (const auto State : {coordination::rollout_state::Running,
+                           coordination::rollout_state::Completed,
+                           coordination::rollout_state::RolledBack}) {
     coordination::rollout_record Record;
     Record.Service = "pages";
     Record.ToVersion = "v2";
     Record.State = State;
-    const auto Read = Codec.readStatus(Codec.statusKey("pages"),
-                                       Codec.writeStatus(Record));
+    const auto Read =
+        Codec.readStatus(Codec.statusKey("pages"), Codec.writeStatus(Record));
     REQUIRE(Read.has_value());
     CHECK(Read.value().Service == "pages");
     CHECK(Read.value().State == State);
@@ -217,7 +216,8 @@
 
 TEST_CASE("announcements of upstreams") {
   const platform::instance_codec Codec;
-  const auto Read = Codec.readCall(request("POST", BeatPath, goodBeat().dump()));
+  const auto Read =
+      Codec.readCall(request("POST", BeatPath, goodBeat().dump()));
   REQUIRE(Read.has_value());
   const coordination::announcement &A = Read.value().Announcement;
   CHECK(A.Name == "i-7f3a91c2");
@@ -237,18 +237,22 @@
 TEST_CASE("foreign announcements are refused") {
   const platform::instance_codec Codec;
   const change_case Cases[] = {
-      {"/service", nullptr, "service"}, {"/address", 3, "address"},
-      {"/slots", "12", "slots"},        {"/slots", 0, "slots"},
-      {"/slots", -1, "slots"},          {"/state", "asleep", "state"},
-      {"/state", nullptr, "state"},     {"/sequence", "4", "sequence"},
-      {"/sequence", nullptr, "sequence"}, {"/born", 1.5, "born"},
+      {"/service", nullptr, "service"},
+      {"/address", 3, "address"},
+      {"/slots", "12", "slots"},
+      {"/slots", 0, "slots"},
+      {"/slots", -1, "slots"},
+      {"/state", "asleep", "state"},
+      {"/state", nullptr, "state"},
+      {"/sequence", "4", "sequence"},
+      {"/sequence", nullptr, "sequence"},
+      {"/born", 1.5, "born"},
       {"/coldRemainingMs", "x", "coldRemainingMs"},
   };
   for (const change_case &Case : Cases) {
     CAPTURE(std::string(Case.Pointer));
-    const auto Read = Codec.readCall(
-        request("POST", BeatPath,
-                changed(goodBeat(), Case.Pointer, Case.Part).dump()));
+    const auto Read = Codec.readCall(request(
+        "POST", BeatPath, changed(goodBeat(), Case.Pointer, Case.Part).dump()));
     REQUIRE(Read.has_error());
     CHECK(Read.error().is(errc::InvalidMessage));
     CHECK(Read.error().text().find(Case.Text) != std::string::npos);
@@ -267,8 +271,8 @@
         path_case{"POST", "/other?call=instances.heartbeat&of=i-1",
                   errc::NotFound}}) {
     CAPTURE(std::string(Case.Target));
-    const auto Read = Codec.readCall(
-        request(Case.Method, Case.Target, goodBeat().dump()));
+    const auto Read =
+        Codec.readCall(request(Case.Method, Case.Target, goodBeat().dump()));
     REQUIRE(Read.has_error());
     CHECK(Read.error().is(Case.Code));
   }
--- a/tests/slot_queue_test.cpp
+++ b/tests/slot_queue_test.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Replays load patterns on slot_queue: what it answers in time, what it refuses
-/// and when.
+/// Replays load patterns on slot_queue: what it answers in time, what it
+/// refuses and when.
 #include "hyssopledge/state/slot_queue.h"
 
 #include <algorithm>
@@ -150,7 +150,7 @@
   struct pattern {
     const char *Name;
     std::vector<load_kind> Kinds;
-    double LeastInAim;  // part of what the slots can run
+    double LeastInAim;   // part of what the slots can run
     double MostHeldLong; // part of the refusals
   };
   // 12 slots: 120 requests a second of 100 ms fill them.
@@ -190,8 +190,8 @@
       HeldLong += Ours[Kind.Name].HeldLong;
       RunMs += double(Ours[Kind.Name].InAim) * Kind.RunMs;
     }
-    MESSAGE(std::string(Pattern.Name), ": in aim ", OurAim, ", first come ", PlainAim,
-            ", refused ", Refused, ", held long ", HeldLong);
+    MESSAGE(std::string(Pattern.Name), ": in aim ", OurAim, ", first come ",
+            PlainAim, ", refused ", Refused, ", held long ", HeldLong);
     CHECK(OurAim > PlainAim);
     CHECK(RunMs >= Pattern.LeastInAim * 12 * DurationMs);
     CHECK(HeldLong <= Pattern.MostHeldLong * Refused);
