--- a/hyssopledge/coordination/fleet_agent.cpp
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -86,7 +86,7 @@
   Self.Upstream.Answering = false;
   announceSelf();
   if (ForGood && Lease != 0)
-    Platform.revokeLease(Lease, [](state::result<bool>) {});
+    Platform.revokeLease(Lease, [](const state::result<bool> &) {});
   stopFollowing();
 }
 
--- a/hyssopledge/coordination/rollout_pilot.cpp
+++ b/hyssopledge/coordination/rollout_pilot.cpp
@@ -97,7 +97,7 @@
     std::string Fault =
         faultOf(Count, Same == Old.end() ? None : Same->second, NewCold);
     if (!Fault.empty())
-      return Fault + " on route " + Route;
+      return Fault.append(" on route ").append(Route);
   }
   // Failures that are spread over many routes.
   std::string Fault = faultOf(total(New), total(Old), NewCold);
--- a/hyssopledge/transport/http_listener.cpp
+++ b/hyssopledge/transport/http_listener.cpp
@@ -108,10 +108,10 @@
 
 class http_listener::session::exchange final : public server_exchange {
 public:
-  exchange(std::shared_ptr<session> Session, http_request Request,
+  exchange(const std::shared_ptr<session> &Session, http_request Request,
            bool KeepAlive, std::size_t Loop)
-      : Request(std::move(Request)), KeepAlive(KeepAlive),
-        Session(std::move(Session)), Loop(Loop) {}
+      : Request(std::move(Request)), KeepAlive(KeepAlive), Session(Session),
+        Loop(Loop) {}
 
   //--- server_exchange --------------------------------------------------------
   const http_request &request() const override { return Request; }
--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -308,7 +308,7 @@
       // Being late is no reason against another attempt here later.
       if (Answer.Reason != "late")
         Dead.push_back(Target.Upstream);
-      return onNotRun(std::move(Answer), Now);
+      return onNotRun(Answer, Now);
     }
     if (!Failed)
       return deliver(std::move(Answer));
@@ -322,7 +322,7 @@
               Unknown, Answer.Reason.c_str());
   }
 
-  void onNotRun(hop_answer Answer, state::time_point Now) {
+  void onNotRun(const hop_answer &Answer, state::time_point Now) {
     const bool More = Hops < MaxHops && Now < Deadline &&
                       Answer.Reason != "poison" && Answer.Reason != "deadline";
     if (!More)
@@ -512,11 +512,9 @@
   if (Entry.has_error())
     return Entry.error();
   listener_options Daemons;
-  auto Hop =
-      http_listener::open({&Context}, Plane->Options.HopAddress, Daemons,
-                          [Raw](std::shared_ptr<server_exchange> Caller) {
-                            Raw->onHop(std::move(Caller));
-                          });
+  auto Hop = http_listener::open(
+      {&Context}, Plane->Options.HopAddress, Daemons,
+      [Raw](std::shared_ptr<server_exchange> Caller) { Raw->onHop(Caller); });
   if (Hop.has_error())
     return Hop.error();
   Plane->Entry = std::move(Entry.value());
@@ -591,13 +589,13 @@
 }
 
 /// A request of another daemon for the upstream here.
-void mesh_plane::onHop(std::shared_ptr<server_exchange> Caller) {
+void mesh_plane::onHop(const std::shared_ptr<server_exchange> &Caller) {
   const std::string_view Field = fieldValue(Caller->request(), HopCallField);
   if (Field.empty()) {
     if (Caller->request().target() == DocumentPath) {
       const std::string Text = Hooks.DocumentText();
-      return Caller->respond(
-          plainAnswer(Text.empty() ? 404 : 200, "application/octet-stream", Text));
+      return Caller->respond(plainAnswer(Text.empty() ? 404 : 200,
+                                         "application/octet-stream", Text));
     }
     return Caller->respond(
         daemonAnswer(400, NotRun, "malformed-hop", "not a call of a daemon"));
--- a/hyssopledge/transport/mesh_plane.h
+++ b/hyssopledge/transport/mesh_plane.h
@@ -105,7 +105,7 @@
              upstream_port &Port, metrics &Metrics);
 
   void onCaller(std::shared_ptr<server_exchange> Caller);
-  void onHop(std::shared_ptr<server_exchange> Caller);
+  void onHop(const std::shared_ptr<server_exchange> &Caller);
   void watchPeers();
   std::vector<state::placement_candidate>
   candidates(const service_targets &Service, bool NewVersion,
--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -384,7 +384,7 @@
   Fleet->put("op/rollout/pages", "no json");
   Fleet->put("op/rollout/", R"({"service":"","toVersion":"","durationS":-1})");
   Fleet->put("status/rollout/pages", R"({"state":"flying"})");
-  Fleet->put("hyssop/members/x", "\xff\x00garbage");
+  Fleet->put("hyssop/members/x", "\xff\xfegarbage");
   for (const std::string &Name : Six)
     Fleet->add(Name);
   Fleet->run(milliseconds(4000));
