Hold a leave that comes before the first heartbeat; serve the upstream while leaving

Change: a leave without a birth covers births up to its time; the upstream is served for 1.5 s after SIGTERM.

--- a/apps/hyssop_mesh/mesh_daemon.cpp
+++ b/apps/hyssop_mesh/mesh_daemon.cpp
@@ -27,6 +27,9 @@
 // then their connections stay open.
 constexpr milliseconds CloseConnectionsAfter{1200};
 constexpr milliseconds LeaveAtLeast{2500};
+// The daemon stays for its callers; the upstream beside it, which goes on, is
+// served meanwhile. What it was sent ends before the daemon does.
+constexpr milliseconds ServeUpstreamFor{1500};
 // What comes later than this could outlast the grace time.
 constexpr milliseconds RefuseAfter{2800};
 // Without a request for this long, the callers have gone.
@@ -294,7 +297,7 @@
   const std::string FormerName = Registry.record().Name;
   auto Effect = coordination::registry_effect::None;
   if (Read.value().Kind == transport::instance_call_kind::Leave) {
-    Effect = Registry.leave(Said.Name, Said.Born);
+    Effect = Registry.leave(Said.Name, Said.Born, unixMilliseconds());
   } else {
     auto Result = Registry.announce(Said);
     if (Result.has_error()) {
@@ -354,18 +357,25 @@
 void mesh_daemon::leave() {
   Leaving = true;
   LeavingSince = IdleSince = boot_clock::now();
-  const bool UpstreamGone =
-      Registry.record().State == coordination::upstream_state::Gone;
-  Port->close();
   Plane->setLastMoment(LeavingSince + Settings.Grace - GraceMargin -
                        LastAnswersTime);
-  Agent->leave(UpstreamGone);
+  if (Registry.record().State != coordination::upstream_state::Serving)
+    leaveFleet();
   LeaveCheck = Timers.every(LeaveCheckInterval,
                             [this](state::time_point) { checkLeft(); });
 }
 
+/// Other daemons send nothing more here.
+void mesh_daemon::leaveFleet() {
+  LeftFleet = true;
+  Port->close();
+  Agent->leave(Registry.record().State == coordination::upstream_state::Gone);
+}
+
 void mesh_daemon::checkLeft() {
   const state::time_point Now = boot_clock::now();
+  if (!LeftFleet && Now - LeavingSince >= ServeUpstreamFor)
+    leaveFleet();
   if (Plane->active() > 0)
     IdleSince = Now;
   if (Now - LeavingSince >= CloseConnectionsAfter)
--- a/apps/hyssop_mesh/mesh_daemon.h
+++ b/apps/hyssop_mesh/mesh_daemon.h
@@ -63,6 +63,7 @@
   void publishUpstream(bool Answering);
   void awaitSignal();
   void leave();
+  void leaveFleet();
   void checkLeft();
   void onTick();
 
@@ -87,6 +88,7 @@
   std::string PackedDocument; // compressed for other daemons, empty: not yet
   bool DirectoryDirty = false;
   bool Leaving = false;
+  bool LeftFleet = false;
   state::time_point LeavingSince{};
   state::time_point IdleSince{};
 };
--- a/hyssopledge/coordination/upstream_registry.cpp
+++ b/hyssopledge/coordination/upstream_registry.cpp
@@ -62,15 +62,16 @@
 }
 
 registry_effect upstream_registry::leave(const std::string &Name,
-                                         std::uint64_t Born) {
-  const std::uint64_t KnownBorn =
-      Born != 0 ? Born : (Name == Record.Name ? Record.Born : 0);
+                                         std::uint64_t Born,
+                                         std::uint64_t Now) {
+  const bool Here = Name == Record.Name;
+  const std::uint64_t KnownBorn = Born != 0 ? Born : Here ? Record.Born : Now;
   if (!hasLeft(Name, KnownBorn)) {
     Left.push_back({Name, KnownBorn, upstream_state::Gone});
     if (Left.size() > MaxLeft)
       Left.pop_front();
   }
-  if (Name != Record.Name || (Born != 0 && Born < Record.Born) ||
+  if (!Here || (Born != 0 && Born < Record.Born) ||
       Record.State == upstream_state::Gone)
     return registry_effect::None;
   Record.State = upstream_state::Gone;
--- a/hyssopledge/coordination/upstream_registry.h
+++ b/hyssopledge/coordination/upstream_registry.h
@@ -43,7 +43,10 @@
   void recall(const upstream_record &Former);
   /// InvalidMessage when it does not speak of the upstream here.
   state::result<registry_effect> announce(const announcement &Announcement);
-  registry_effect leave(const std::string &Name, std::uint64_t Born);
+  /// Now is the time of day, Unix milliseconds: an upstream that is not known
+  /// and says no birth was born before it.
+  registry_effect leave(const std::string &Name, std::uint64_t Born,
+                        std::uint64_t Now);
   /// Serving, Draining or Gone as of the last call; Answering is not kept here.
   const upstream_record &record() const { return Record; }
 
--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -175,7 +175,8 @@
     upstream_registry Registry("pages", "10.0.0.1:80");
     for (const step &Step : Case.Steps) {
       if (Step.Leave)
-        CHECK(Registry.leave(Step.Said.Name, Step.Said.Born) == Step.Effect);
+        CHECK(Registry.leave(Step.Said.Name, Step.Said.Born, 100) ==
+              Step.Effect);
       else
         CHECK(Registry.announce(Step.Said).value() == Step.Effect);
     }
@@ -184,6 +185,20 @@
   }
 }
 
+TEST_CASE(
+    "a leave before the first heartbeat holds for heartbeats that are late") {
+  // The daemon has just started; the leave does not say when the upstream was
+  // born. It comes at 50, and the heartbeat was sent before.
+  upstream_registry Registry("pages", "10.0.0.1:80");
+  CHECK(Registry.leave("i-1", 0, 50) == registry_effect::None);
+  CHECK(Registry.announce(announce("i-1", 10, 9)).value() ==
+        registry_effect::Outdated);
+  CHECK(Registry.record().State == upstream_state::None);
+  // Started again under its name.
+  CHECK(Registry.announce(announce("i-1", 60, 1)).value() ==
+        registry_effect::Changed);
+}
+
 TEST_CASE("a daemon that starts again remembers a drain") {
   upstream_registry Registry("pages", "10.0.0.1:80");
   upstream_record Former;
