--- a/hyssopledge/transport/logging.cpp
+++ b/hyssopledge/transport/logging.cpp
@@ -80,7 +80,7 @@
       ++Dropped;
       return;
     }
-    ++Lines;
+    Lines += Limited ? 1 : 0;
     Buffer.append(Line);
   }
 
@@ -107,7 +107,7 @@
   std::mutex Lock;
   std::string Buffer;
   std::chrono::steady_clock::time_point Second{};
-  unsigned Lines = 0; // in this second
+  unsigned Lines = 0; // limited ones in this second
   std::uint64_t Dropped = 0;
 };
 
