Let idle connections hold no buffers

Change: the pool shrinks a buffer when it keeps the connection, the listener waits for bytes before it takes one.

--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -118,6 +118,7 @@
           Options.IdleTimeout, *PeerLimit - IdleMargin);
     if (Connection->IdleLimit <= boot_clock::duration::zero())
       return;
+    Connection->Buffer.shrink_to_fit(); // many idle ones would hold it
     auto &Kept = Idle[Address];
     Connection->IdleSince = boot_clock::now();
     Kept.push_back(std::move(Connection));
--- a/hyssopledge/transport/http_listener.cpp
+++ b/hyssopledge/transport/http_listener.cpp
@@ -59,6 +59,7 @@
   void start() {
     error_code Ignored;
     Socket.set_option(tcp::no_delay(true), Ignored);
+    Socket.non_blocking(true, Ignored);
     Core->Sessions[Loop].insert(shared_from_this());
     expectWithin(Core->Options.IdleTimeout);
     read();
@@ -72,6 +73,7 @@
 
   void close();
   void read();
+  void onReadable(error_code Error);
   void onBytes(const error_code &Error);
   void parse();
   void onRequest();
@@ -198,15 +200,27 @@
   if (Reading || Closed || Buffer.size() >= MaxUnparsed)
     return;
   Reading = true;
-  Socket.async_read_some(
-      Buffer.prepare(ReadBytes),
-      [Self = shared_from_this()](const error_code &Error, std::size_t Bytes) {
-        Self->Reading = false;
-        if (Self->Closed)
-          return;
-        Self->Buffer.commit(Bytes);
-        Self->onBytes(Error);
-      });
+  // An idle connection holds no buffer.
+  if (Buffer.size() == 0)
+    Buffer.shrink_to_fit();
+  Socket.async_wait(tcp::socket::wait_read,
+                    [Self = shared_from_this()](const error_code &Error) {
+                      Self->Reading = false;
+                      if (Self->Closed)
+                        return;
+                      Self->onReadable(Error);
+                    });
+}
+
+void http_listener::session::onReadable(error_code Error) {
+  if (!Error) {
+    const std::size_t Bytes =
+        Socket.read_some(Buffer.prepare(ReadBytes), Error);
+    Buffer.commit(Bytes);
+  }
+  if (Error == asio::error::would_block)
+    return read();
+  onBytes(Error);
 }
 
 void http_listener::session::onBytes(const error_code &Error) {
