--- /dev/null
+++ b/hyssopledge/coordination/fleet_agent_rollouts.cpp
@@ -0,0 +1,261 @@
+/// \file
+/// The agent's part in rollouts: orders, evidence, decisions and their state on
+/// the platform.
+#include "hyssopledge/coordination/fleet_agent.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace hyssopledge::coordination {
+
+using state::time_point;
+
+void fleet_agent::onOrder(const platform_entry &Entry) {
+  auto Order = Dialect.readOrder(Entry.Value);
+  if (Order.has_error()) {
+    log("order_refused",
+        "key=" + Entry.Key + " reason=\"" + Order.error().text() + "\"");
+    return;
+  }
+  const auto Revision = static_cast<std::uint64_t>(Entry.ModRevision);
+  followed_order &Followed = Orders[Order.value().Service];
+  if (Followed.Revision >= Revision)
+    return;
+  const std::uint64_t StatusRevision = Followed.StatusRevision;
+  Followed = {};
+  Followed.Order = Order.value();
+  Followed.Revision = Revision;
+  Followed.SteppedAt = Timers.now();
+  Followed.SeenAt =
+      FirstSeen
+          .emplace(std::make_pair(Followed.Order.Service, Revision),
+                   Timers.now())
+          .first->second;
+  Followed.StatusRevision = StatusRevision;
+  log("order_seen", "service=" + Followed.Order.Service +
+                        " to_version=" + Followed.Order.ToVersion +
+                        " revision=" + std::to_string(Revision));
+}
+
+/// The states that were written for finished rollouts, for daemons that start
+/// without a peer that knows them.
+void fleet_agent::readStatuses() {
+  Platform.get(Dialect.statusPrefix(), true,
+               [this, Alive = Alive](const state::result<platform_read> &Read) {
+                 if (!*Alive)
+                   return;
+                 if (Read.has_error()) {
+                   log("status_read_failed",
+                       "reason=\"" + Read.error().text() + "\"");
+                   return;
+                 }
+                 StatusesRead = true;
+                 bool Changed = false;
+                 for (const platform_entry &Entry : Read.value().Entries) {
+                   auto Status = Dialect.readStatus(Entry.Key, Entry.Value);
+                   if (Status.has_error()) {
+                     log("status_ignored", "key=" + Entry.Key + " reason=\"" +
+                                               Status.error().text() + "\"");
+                     continue;
+                   }
+                   rollout_record &Record = Status.value();
+                   StatusRevisions[Record.Service] =
+                       static_cast<std::uint64_t>(Entry.ModRevision);
+                   const auto Followed = Orders.find(Record.Service);
+                   if (Followed == Orders.end() ||
+                       Followed->second.Order.ToVersion != Record.ToVersion ||
+                       static_cast<std::uint64_t>(Entry.ModRevision) <
+                           Followed->second.Revision)
+                     continue;
+                   Followed->second.Written = Record.State;
+                   if (Record.State == rollout_state::Running)
+                     continue;
+                   Record.Order = Followed->second.Revision;
+                   Record.ShareBp =
+                       Record.State == rollout_state::Completed ? 10'000 : 0;
+                   Changed = Directory.merge(Record) || Changed;
+                 }
+                 if (Changed && Hooks.OnDirectory)
+                   Hooks.OnDirectory();
+               });
+}
+
+void fleet_agent::steerRollouts(time_point Now) {
+  if (!StatusesRead)
+    return;
+  for (auto &[Service, Followed] : Orders)
+    steer(Followed, Now);
+}
+
+void fleet_agent::steer(followed_order &Followed, time_point Now) {
+  const std::string &Service = Followed.Order.Service;
+  const rollout_record *Known = Directory.rollout(Service);
+  rollout_record Record;
+  if (Known != nullptr && Known->Order == Followed.Revision) {
+    Record = *Known;
+  } else {
+    Record.Service = Service;
+    Record.ToVersion = Followed.Order.ToVersion;
+    Record.Order = Followed.Revision;
+    decide(Followed, Record, "ordered", "");
+  }
+  if (Record.State == rollout_state::Running) {
+    std::uint32_t NewSlots = 0;
+    std::uint32_t OldSlots = 0;
+    bool Cold = false;
+    for (const auto &[Name, Member] : Directory.members()) {
+      const upstream_record &Upstream = Member.Upstream;
+      if (Member.Left || Upstream.Service != Service ||
+          Upstream.State != upstream_state::Serving || !Upstream.Answering)
+        continue;
+      const bool New = Upstream.Version == Record.ToVersion;
+      (New ? NewSlots : OldSlots) += Upstream.Slots;
+      Cold = Cold || (New && Upstream.Cold);
+    }
+    route_counts New;
+    route_counts Old;
+    if (Hooks.Evidence && Self.Upstream.Service == Service)
+      Evidence[Options.Instance] = {Self.Upstream.Version, Record.Order,
+                                    Hooks.Evidence()};
+    for (const auto &[Name, Row] : Evidence) {
+      if (Row.Order != Record.Order)
+        continue;
+      for (const auto &[Route, Count] : Row.Counts) {
+        run_count &Sum = (Row.Version == Record.ToVersion ? New : Old)[Route];
+        Sum.Runs += Count.Runs;
+        Sum.Failures += Count.Failures;
+        Sum.TotalMs += Count.TotalMs;
+      }
+    }
+    if (Followed.StepOfCounts != Record.Step) {
+      Followed.StepOfCounts = Record.Step;
+      Followed.NewAtStep = New;
+    }
+    route_counts NewInStep = New;
+    for (auto &[Route, Count] : NewInStep) {
+      const run_count &Before = Followed.NewAtStep[Route];
+      // Counts go back when an upstream's daemon starts again.
+      Count.Runs -= std::min(Count.Runs, Before.Runs);
+      Count.Failures -= std::min(Count.Failures, Before.Failures);
+      Count.TotalMs -= std::min(Count.TotalMs, Before.TotalMs);
+    }
+    const pilot_input Input{
+        std::chrono::duration_cast<std::chrono::milliseconds>(Now -
+                                                              Followed.SeenAt),
+        Followed.Order.Duration,
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            Now - Followed.SteppedAt),
+        Record.ShareBp,
+        NewSlots,
+        OldSlots,
+        Cold,
+        New,
+        NewInStep,
+        Old};
+    const pilot_decision Decision = decideShare(Input);
+    if (Decision.State != Record.State || Decision.ShareBp != Record.ShareBp) {
+      std::ostringstream Seen;
+      const auto Print = [&](const char *Name, const route_counts &Counts) {
+        Seen << ' ' << Name << '=';
+        for (const auto &[Route, Count] : Counts)
+          Seen << Route << ':' << Count.Runs << '/' << Count.Failures << '/'
+               << (Count.Runs == 0 ? 0 : Count.TotalMs / Count.Runs) << "ms,";
+      };
+      Seen << " new_slots=" << NewSlots << " old_slots=" << OldSlots;
+      Print("new", New);
+      Print("old", Old);
+      Record.State = Decision.State;
+      Record.ShareBp = Decision.ShareBp;
+      decide(Followed, Record, Decision.Rule, Seen.str());
+    }
+  }
+  if (const rollout_record *Latest = Directory.rollout(Service))
+    writeStatus(Followed, *Latest, Now);
+}
+
+void fleet_agent::decide(followed_order &Followed, rollout_record Record,
+                         const std::string &Rule, const std::string &Seen) {
+  ++Record.Step;
+  Followed.SteppedAt = Timers.now();
+  Directory.merge(Record);
+  log("rollout_decision",
+      "service=" + Record.Service + " to_version=" + Record.ToVersion +
+          " state=" + std::to_string(static_cast<int>(Record.State)) +
+          " share_bp=" + std::to_string(Record.ShareBp) + " step=" +
+          std::to_string(Record.Step) + " rule=\"" + Rule + "\"" + Seen);
+  peer_message Message = message(peer_message_kind::Records);
+  Message.Rollouts.push_back(Record);
+  broadcast(Message);
+  // The others act on the share at once; the beacons repair what is lost, but
+  // a rollback should not wait for them.
+  if (Record.State != rollout_state::Running)
+    broadcast(Message);
+  if (Hooks.OnDirectory)
+    Hooks.OnDirectory();
+}
+
+void fleet_agent::writeStatus(followed_order &Followed,
+                              const rollout_record &Record, time_point Now) {
+  if (Followed.Written == Record.State || Followed.WritingStatus ||
+      Now < Followed.NextWrite)
+    return;
+  Followed.WritingStatus = true;
+  Followed.NextWrite = Now + Pace.RetryPause;
+  const std::string Service = Record.Service;
+  platform_txn Txn;
+  const std::string Key = Dialect.statusKey(Service);
+  Txn.Conditions.push_back(
+      {Key, static_cast<std::int64_t>(StatusRevisions[Service])});
+  Txn.Puts.push_back({Key, Dialect.writeStatus(Record), 0});
+  Platform.commit(
+      std::move(Txn),
+      [this, Alive = Alive, Service, State = Record.State,
+       Order = Record.Order](const state::result<platform_txn_result> &Result) {
+        if (!*Alive)
+          return;
+        const auto Found = Orders.find(Service);
+        if (Found == Orders.end() || Found->second.Revision != Order)
+          return;
+        Found->second.WritingStatus = false;
+        if (Result.has_error()) {
+          // The write may have been done: what is there is read again.
+          log("status_write_failed", "service=" + Service + " reason=\"" +
+                                         Result.error().text() + "\"");
+          return readStatuses();
+        }
+        if (!Result.value().Succeeded) {
+          log("status_write_lost", "service=" + Service);
+          return readStatuses();
+        }
+        StatusRevisions[Service] =
+            static_cast<std::uint64_t>(Result.value().Revision);
+        Found->second.Written = State;
+        log("status_written", "service=" + Service + " state=" +
+                                  std::to_string(static_cast<int>(State)));
+      });
+}
+
+void fleet_agent::sendEvidence(time_point Now) {
+  if (!Hooks.Evidence || Now - LastEvidence < Pace.Evidence)
+    return;
+  const rollout_record *Rollout = Directory.rollout(Self.Upstream.Service);
+  if (Rollout == nullptr || Rollout->State != rollout_state::Running)
+    return;
+  LastEvidence = Now;
+  peer_message Message = message(peer_message_kind::Evidence);
+  Message.Service = Self.Upstream.Service;
+  Message.Version = Self.Upstream.Version;
+  Message.Order = Rollout->Order;
+  Message.Counts = Hooks.Evidence();
+  if (Message.Counts.empty())
+    return;
+  for (const auto &[Name, Beacon] : Beacons) {
+    const member_record *Member = Directory.find(Name);
+    if (Member != nullptr && Beacon.PlatformReached &&
+        Now - Beacon.At < Pace.RelaySilence)
+      sendTo(Member->ControlAddress, Message);
+  }
+}
+
+} // namespace hyssopledge::coordination
