--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -514,7 +514,9 @@
   listener_options Daemons;
   auto Hop = http_listener::open(
       {&Context}, Plane->Options.HopAddress, Daemons,
-      [Raw](std::shared_ptr<server_exchange> Caller) { Raw->onHop(Caller); });
+      [Raw](const std::shared_ptr<server_exchange> &Caller) {
+        Raw->onHop(Caller);
+      });
   if (Hop.has_error())
     return Hop.error();
   Plane->Entry = std::move(Entry.value());
