Remove what nothing uses

Dead since it was written: fields of the agent, a flag between daemons, the idle limit of one send, counters and accessors without a reader, and a setting that was read and not used. Behaviour stays as it is.

--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -108,7 +108,6 @@
   const std::optional<upstream_record> &formerUpstream() const {
     return FormerUpstream;
   }
-  bool platformReached() const { return PlatformReached; }
 
   /// Tells the others at once.
   void setUpstream(const upstream_record &Upstream);
@@ -130,8 +129,6 @@
     std::uint64_t Revision = 0; // on the platform
     state::time_point SeenAt{};
     state::time_point SteppedAt{};
-    std::uint64_t StatusRevision = 0; // of the status key, 0: absent
-    bool StatusKnown = false;
     bool WritingStatus = false;
     std::optional<rollout_state> Written; // state on the platform
     state::time_point NextWrite{};
@@ -201,7 +198,6 @@
   std::map<std::string, beacon> Beacons; // by instance
   std::shared_ptr<const state::route_table> Document;
   std::string DocumentText;
-  std::uint64_t RefusedVersion = 0; // newest text that could not be read
 
   bool Leaving = false;
   bool Following = false; // reads or watches the operators' input
--- a/hyssopledge/coordination/fleet_agent_rollouts.cpp
+++ b/hyssopledge/coordination/fleet_agent_rollouts.cpp
@@ -22,7 +22,6 @@
   followed_order &Followed = Orders[Order.value().Service];
   if (Followed.Revision >= Revision)
     return;
-  const std::uint64_t StatusRevision = Followed.StatusRevision;
   Followed = {};
   Followed.Order = Order.value();
   Followed.Revision = Revision;
@@ -32,7 +31,6 @@
           .emplace(std::make_pair(Followed.Order.Service, Revision),
                    Timers.now())
           .first->second;
-  Followed.StatusRevision = StatusRevision;
   log("order_seen", "service=" + Followed.Order.Service +
                         " to_version=" + Followed.Order.ToVersion +
                         " revision=" + std::to_string(Revision));
--- a/hyssopledge/protocol/mesh_settings.h
+++ b/hyssopledge/protocol/mesh_settings.h
@@ -30,7 +30,6 @@
   state::milliseconds DrainTime{2000}; // from an acknowledged drain until the
                                        // upstream must get no more requests
   std::chrono::seconds Grace{6};       // from SIGTERM to the kill
-  std::size_t MemoryBytes = 0;         // of this process; 0: unknown
 };
 
 } // namespace hyssopledge::protocol
--- a/hyssopledge/transport/hop.cpp
+++ b/hyssopledge/transport/hop.cpp
@@ -45,8 +45,6 @@
           std::to_string(Call.Priority) + Separator;
   if (Call.MayBeLate)
     Text += 'l';
-  if (Call.Repeated)
-    Text += 'r';
   return Text;
 }
 
@@ -66,7 +64,6 @@
   Call.TimeLeft = state::milliseconds(TimeLeft);
   Call.AimLeft = state::milliseconds(AimLeft);
   Call.MayBeLate = Parts[6].find('l') != std::string_view::npos;
-  Call.Repeated = Parts[6].find('r') != std::string_view::npos;
   return Call;
 }
 
--- a/hyssopledge/transport/hop.h
+++ b/hyssopledge/transport/hop.h
@@ -20,7 +20,6 @@
   state::milliseconds AimLeft{0}; // below 0: already missed
   std::uint32_t Priority = 0;
   bool MayBeLate = false; // run it although it will miss its aim
-  bool Repeated = false;  // it has reached an upstream before
 };
 
 enum class hop_outcome {
--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -87,8 +87,7 @@
   core(asio::io_context &Context, client_pool_options Options)
       : Context(Context), Options(Options), Sweep(Context) {}
 
-  std::unique_ptr<connection> take(const std::string &Address,
-                                   std::optional<state::milliseconds> MaxIdle) {
+  std::unique_ptr<connection> take(const std::string &Address) {
     const auto Found = Idle.find(Address);
     if (Found == Idle.end())
       return nullptr;
@@ -99,11 +98,6 @@
       std::unique_ptr<connection> Connection = std::move(Kept.back());
       Kept.pop_back();
       const auto Idle = Now - Connection->IdleSince;
-      if (MaxIdle && Idle >= *MaxIdle) {
-        // The others have been idle for longer.
-        Kept.push_back(std::move(Connection));
-        return nullptr;
-      }
       if (Idle < Connection->IdleLimit && Connection->usable())
         return Connection;
     }
@@ -176,7 +170,7 @@
     const auto Left = Deadline - boot_clock::now();
     if (Left <= boot_clock::duration::zero())
       return finishLater(exchange_cause::Timeout, "the deadline has passed");
-    Connection = Core->take(Address, Options.MaxIdle);
+    Connection = Core->take(Address);
     if (Connection) {
       startTimer(Left);
       return write();
@@ -194,7 +188,6 @@
                                     Error.message());
           error_code Ignored;
           Self->Connection->Socket.set_option(tcp::no_delay(true), Ignored);
-          Self->Opened = true;
           if (const auto Limit = Self->Core->Options.SilenceLimit;
               Limit.count() > 0)
             limitSilence(Self->Connection->Socket, Limit);
@@ -288,7 +281,6 @@
                           Connection->Buffer.size() == 0 && Status != 101;
     exchange_result Result;
     Result.End = exchange_end::Whole;
-    Result.Connected = Opened;
     Result.Response = Parser->release();
     if (Reusable)
       Core->keep(Address, std::move(Connection),
@@ -300,7 +292,6 @@
     exchange_result Result;
     Result.End = Written ? exchange_end::Unknown : exchange_end::NotSent;
     Result.Cause = Cause;
-    Result.Connected = Opened;
     Result.Detail = std::move(Detail);
     complete(std::move(Result));
   }
@@ -338,7 +329,6 @@
   asio::steady_timer Timer;
   std::unique_ptr<connection> Connection;
   std::optional<http::response_parser<http::string_body>> Parser;
-  bool Opened = false;
   bool Written = false;
   bool WriteEnded = false;
   bool WriteFailed = false;
--- a/hyssopledge/transport/http_client_pool.h
+++ b/hyssopledge/transport/http_client_pool.h
@@ -40,8 +40,6 @@
   /// An answer for which this returns false belongs to another request: it is
   /// thrown away and the next one is read. Empty: every answer is accepted.
   std::function<bool(const http_response &)> Accept;
-  /// Kept connections are used only when they were idle for less than this.
-  std::optional<state::milliseconds> MaxIdle;
 };
 
 enum class exchange_end {
@@ -62,8 +60,7 @@
 struct exchange_result {
   exchange_end End = exchange_end::NotSent;
   exchange_cause Cause = exchange_cause::None;
-  std::string Detail;     // for people; empty with Whole
-  bool Connected = false; // a connection was opened for the request
+  std::string Detail; // for people; empty with Whole
   http_response Response;
 };
 
--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -216,7 +216,6 @@
     Hop.AimLeft = inMilliseconds(AimAt - Now);
     Hop.Priority = Route->Priority;
     Hop.MayBeLate = TriedLate;
-    Hop.Repeated = Sends > 0;
     const std::uint64_t Sent = ++Epoch;
     if (To.Instance == Plane.Options.Instance) {
       // The handler may be called before run() returns.
--- a/hyssopledge/transport/mesh_plane.h
+++ b/hyssopledge/transport/mesh_plane.h
@@ -74,7 +74,6 @@
   /// Answers what has no answer yet: its outcome is unknown.
   void answerRest();
   std::size_t active() const; // requests without a written answer
-  std::size_t openCalls() const { return Calls.size(); }
 
 private:
   class entry_call;
--- a/hyssopledge/transport/upstream_port.cpp
+++ b/hyssopledge/transport/upstream_port.cpp
@@ -82,8 +82,6 @@
 
   std::uint64_t fingerprint() const { return Fingerprint; }
 
-  hop_call takeCall() { return std::move(Call); }
-
   upstream_port &Port;
   const std::uint64_t Ticket;
   hop_call Call;
@@ -123,8 +121,6 @@
         Port.count(Route, true, RunTime);
     }
     // The slot is given on before the answer, so that the load is current.
-    const auto Kept = Port.Exchanges.find(Ticket);
-    const auto Self = Kept == Port.Exchanges.end() ? nullptr : Kept->second;
     Port.Exchanges.erase(Ticket);
     Port.leave(Ticket, Counted);
     Answer.Load = Port.load();
