Stop repeats that do not help, and tell entry daemons of slow upstreams

Of slow upstreams each of 58 entry daemons learned by its own lost requests.

Change: repeat_gain stops repeats of a kind while they fail; the budget is used to 0.9 and also charged for calls of repeated runs, runs may use half of it; Retry-After is short without a backlog; a queue says "late" for what it gives up at the aim; the last daemon asked may run a request late; a daemon reports how slow its upstream is, seen also from runs that have not ended, and its failure rate.

--- a/hyssopledge/coordination/fleet_agent.cpp
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -29,8 +29,8 @@
   StartedAt = Timers.now();
   Directory.merge(Self);
   NextRegister = StartedAt + Pace.RegisterPatience;
+  NextFollow = StartedAt + Pace.InputPatience;
   readMembers(true);
-  readInput(true);
   Tick = Timers.every(Pace.Tick, [this](time_point Now) { tick(Now); });
 }
 
@@ -95,13 +95,11 @@
 }
 
 void fleet_agent::sendRecords(const std::string &ControlAddress) {
-  peer_message All = message(peer_message_kind::Records);
   // After a failure of the whole fleet all ask and nobody knows more than its
   // own record.
-  if (!Synced) {
-    All.Members.push_back(Self);
-    return sendTo(ControlAddress, All);
-  }
+  if (!Synced)
+    return sendOwnRecord(ControlAddress);
+  peer_message All = message(peer_message_kind::Records);
   for (const auto &[Name, Member] : Directory.members())
     All.Members.push_back(Member);
   for (const auto &[Name, Rollout] : Directory.rollouts())
@@ -110,7 +108,15 @@
     sendTo(ControlAddress, Part);
 }
 
-void fleet_agent::mergeMembers(const std::vector<member_record> &Records) {
+void fleet_agent::sendOwnRecord(const std::string &ControlAddress) {
+  peer_message Own = message(peer_message_kind::Records);
+  Own.Members.push_back(Self);
+  sendTo(ControlAddress, Own);
+}
+
+/// Sender is the member that sent them; empty: they are the platform's.
+void fleet_agent::mergeMembers(const std::vector<member_record> &Records,
+                               const std::string &Sender) {
   bool Changed = false;
   for (const member_record &Record : Records) {
     if (Record.Instance == Options.Instance) {
@@ -125,8 +131,12 @@
       continue;
     }
     const member_record *Known = Directory.find(Record.Instance);
-    const bool Restarted = Known != nullptr &&
-                           Known->Incarnation < Record.Incarnation &&
+    const bool Started =
+        Known == nullptr || Known->Incarnation < Record.Incarnation;
+    // After a failure of the whole fleet nobody can tell it of the others.
+    if (Started && !Synced && Announced && Record.Instance == Sender)
+      sendOwnRecord(Record.ControlAddress);
+    const bool Restarted = Known != nullptr && Started &&
                            Record.Upstream.State == upstream_state::None;
     if (Restarted && Known->Upstream.State != upstream_state::None) {
       // It may not know that its upstream has left.
@@ -212,7 +222,7 @@
                  for (const platform_entry &Entry : Read.value().Entries)
                    if (auto Record = decodeMember(Entry.Value);
                        Record.has_value())
-                     mergeMembers({Record.value()});
+                     mergeMembers({Record.value()}, "");
                  putSelf();
                });
 }
@@ -280,7 +290,7 @@
   log("members_read", "count=" + std::to_string(Records.size()) +
                           " revision=" + std::to_string(Read.Revision) +
                           " maybe_old=" + std::to_string(MaybeOld));
-  mergeMembers(Records);
+  mergeMembers(Records, "");
   MembersRead = MembersRead || !MaybeOld;
   // The others may have read the members before this daemon was there, and an
   // earlier announcement found nobody.
@@ -322,8 +332,12 @@
     return;
   auto &Seen = SyncParts[Message.From];
   Seen.insert(Message.Part);
-  if (Seen.size() >= Message.Parts)
-    becomeSynced("records of another member");
+  if (Seen.size() < Message.Parts)
+    return;
+  becomeSynced("records of another member");
+  const member_record *Sender = Directory.find(Message.From);
+  if (!Document && !Fetching && Sender != nullptr)
+    fetchFrom(*Sender);
 }
 
 void fleet_agent::becomeSynced(const char *Why) {
@@ -369,7 +383,7 @@
   case peer_message_kind::Beacon:
     return onBeacon(Message, Now);
   case peer_message_kind::Records: {
-    mergeMembers(Message.Members);
+    mergeMembers(Message.Members, Message.From);
     bool Changed = false;
     for (const rollout_record &Record : Message.Rollouts) {
       Changed = Directory.merge(Record) || Changed;
@@ -454,7 +468,8 @@
   if (Relay != WasRelay)
     log(Relay ? "relay_begins" : "relay_ends",
         "data_centre=" + Options.DataCentre);
-  if (MustFollow && !Following && Now >= NextFollow)
+  if (MustFollow && !Following &&
+      (Now >= NextFollow || (!Document && !InputRead)))
     follow();
   else if (!MustFollow && Following)
     stopFollowing();
@@ -547,7 +562,7 @@
 
 /// Reads all that operators wrote, then watches when this daemon follows.
 void fleet_agent::readInput(bool MaybeOld) {
-  ReadingInput = true;
+  ReadingInput = InputRead = true;
   const std::uint64_t Epoch = ++FollowEpoch;
   const auto Handler = [this, Alive = Alive,
                         Epoch](const state::result<platform_read> &Read) {
@@ -654,12 +669,15 @@
     readInput(false);
   }
   // The channel ends every fetch by its own time-out.
-  if (Fetching || Now - FetchingSince < Pace.FetchPause)
-    return;
+  if (!Fetching && Now - FetchingSince >= Pace.FetchPause)
+    fetchFrom(*Source);
+}
+
+void fleet_agent::fetchFrom(const member_record &Source) {
   Fetching = true;
-  FetchingSince = Now;
+  FetchingSince = Timers.now();
   Peers.fetchDocument(
-      Source->CallAddress,
+      Source.CallAddress,
       [this, Alive = Alive](const state::result<std::string> &Text) {
         if (!*Alive)
           return;
--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -95,6 +95,9 @@
   /// Pause between two documents from peers, so that of a quick succession only
   /// the last ones are fetched.
   std::chrono::milliseconds FetchPause{250};
+  /// A daemon that starts reads the document from the platform when no member
+  /// has given it, compressed, within this time.
+  std::chrono::milliseconds InputPatience{500};
   std::chrono::milliseconds RetryPause{400}; // after a failed platform call
   std::chrono::seconds MemberLease{600};
   std::chrono::seconds MemberRenewal{200};
@@ -162,7 +165,9 @@
   void broadcast(const peer_message &Message);
   void sendTo(const std::string &ControlAddress, const peer_message &Message);
   void sendRecords(const std::string &ControlAddress);
-  void mergeMembers(const std::vector<member_record> &Records);
+  void sendOwnRecord(const std::string &ControlAddress);
+  void mergeMembers(const std::vector<member_record> &Records,
+                    const std::string &Sender);
   void noteFormer(const upstream_record &Upstream);
   void registerSelf();
   void putSelf();
@@ -192,6 +197,7 @@
   void onInput(const platform_entry &Entry);
   bool applyDocument(const std::string &Text, const char *Source);
   void fetchNewer(state::time_point Now);
+  void fetchFrom(const member_record &Source);
 
   //--- Rollouts ---------------------------------------------------------------
   void onOrder(const platform_entry &Entry);
@@ -248,6 +254,7 @@
   state::time_point BehindSince{}; // a peer knows a newer document
   bool Fetching = false;
   bool ReadingInput = false;
+  bool InputRead = false; // tried at least once
 
   std::map<std::string, followed_order> Orders; // by service
   /// When each order was heard of first, by service and revision.
--- a/hyssopledge/coordination/rollout_pilot.cpp
+++ b/hyssopledge/coordination/rollout_pilot.cpp
@@ -42,6 +42,8 @@
 constexpr std::uint64_t RunsToCompare = 8;
 constexpr double SlowFactor = 2.5;
 constexpr double SlowFactorCold = 5; // just started upstreams are slower anyway
+// Run times are counted in whole milliseconds, so small ones tell nothing.
+constexpr double LeastSlowdownMs = 10;
 
 double rate(const run_count &Count) {
   return Count.Runs == 0 ? 0
@@ -67,7 +69,8 @@
     return "failures";
   if (New.Runs - New.Failures >= RunsToCompare &&
       Old.Runs - Old.Failures >= RunsToCompare &&
-      meanMs(New) > meanMs(Old) * (NewCold ? SlowFactorCold : SlowFactor))
+      meanMs(New) > meanMs(Old) * (NewCold ? SlowFactorCold : SlowFactor) &&
+      meanMs(New) > meanMs(Old) + LeastSlowdownMs)
     return "slow";
   return {};
 }
--- a/hyssopledge/state/placement.cpp
+++ b/hyssopledge/state/placement.cpp
@@ -24,6 +24,9 @@
 constexpr double UnknownLatencyMs = 20; // before any answer of the kind
 // A failure rate without new answers loses its meaning.
 constexpr double FailureMemoryMs = 4000;
+// What a daemon says of its upstream's run times and failures holds longer than
+// the number of requests there.
+constexpr double HealthLifeMs = 3000;
 
 double toMs(boot_clock::duration Time) {
   return std::chrono::duration<double, std::milli>(Time).count();
@@ -31,9 +34,33 @@
 
 } // namespace
 
+double failure_rate::at(time_point Now) const {
+  return Rate * std::exp(-toMs(Now - When) / FailureMemoryMs);
+}
+
+void failure_rate::set(double NewRate, time_point Now) {
+  Rate = NewRate;
+  When = Now;
+}
+
+void failure_rate::record(bool Failed, time_point Now) {
+  const double Former = at(Now);
+  set(Former + FailureWeight * ((Failed ? 1 : 0) - Former), Now);
+}
+
 double placement::failureRate(const figures &Figures, time_point Now) {
-  return Figures.FailureRate *
-         std::exp(-toMs(Now - Figures.FailureAt) / FailureMemoryMs);
+  const double Reported = Figures.Load.FailurePercent / 100.0 *
+                          std::exp(-toMs(Now - Figures.LoadAt) / HealthLifeMs);
+  return std::max(Figures.Failures.at(Now), Reported);
+}
+
+double placement::latencyMs(const figures &Figures, const std::string &Kind,
+                            double Typical, time_point Now) {
+  const auto Seen = Figures.LatencyMs.find(Kind);
+  const double Usual = Seen == Figures.LatencyMs.end() ? Typical : Seen->second;
+  const double Slow = std::max(1.0, Figures.Load.SlowPercent / 100.0);
+  const double Fresh = std::exp(-toMs(Now - Figures.LoadAt) / HealthLifeMs);
+  return Usual * (1 + (Slow - 1) * Fresh);
 }
 
 double placement::waitMs(const figures &Figures, std::uint32_t Slots,
@@ -74,8 +101,7 @@
         Query.Tried.end())
       continue;
     const figures &Figures = Targets[Candidate.Instance];
-    const auto Seen = Figures.LatencyMs.find(Query.Kind);
-    const double Run = Seen == Figures.LatencyMs.end() ? Typical : Seen->second;
+    const double Run = latencyMs(Figures, Query.Kind, Typical, Query.Now);
     const double Ms = (waitMs(Figures, Candidate.Slots, Query.Now) + Run) *
                       (1 + FailureCost * failureRate(Figures, Query.Now));
     const bool Ejected = Query.Now < Figures.EjectedUntil;
@@ -130,31 +156,31 @@
   figures &Figures = Found->second;
   if (Figures.InFlight > 0)
     --Figures.InFlight;
-  if (Outcome == placement_outcome::Refused)
+  if (Outcome == placement_outcome::Refused ||
+      Outcome == placement_outcome::Unended)
     return;
+  const auto Ms = static_cast<double>(Latency.count());
   const bool Failed = Outcome == placement_outcome::Failed;
-  const double Former = failureRate(Figures, Now);
-  Figures.FailureRate = Former + FailureWeight * ((Failed ? 1 : 0) - Former);
-  Figures.FailureAt = Now;
+  Figures.Failures.record(Failed, Now);
   ++Figures.Samples;
   if (!Failed) {
-    const auto Ms = static_cast<double>(Latency.count());
-    const auto [Own, New] = Figures.LatencyMs.emplace(Kind, Ms);
+    const auto [Own, New] = Figures.LatencyMs.try_emplace(Kind, Ms);
     if (!New)
       Own->second += NewestWeight * (Ms - Own->second);
     const auto [All, NewKind] = KindMs.emplace(Kind, Ms);
     if (!NewKind)
       All->second += NewestWeight * (Ms - All->second);
   }
-  if (Failed && Figures.FailureRate > EjectRate &&
-      Figures.Samples >= LeastSamples && Now >= Figures.EjectedUntil) {
+  const double Rate = Figures.Failures.at(Now);
+  if (Failed && Rate > EjectRate && Figures.Samples >= LeastSamples &&
+      Now >= Figures.EjectedUntil) {
     Figures.Ejection = Figures.Ejection.count() == 0
                            ? FirstEjection
                            : std::min(Figures.Ejection * 2, LongestEjection);
     Figures.EjectedUntil = Now + Figures.Ejection;
     // The trial that follows is judged by itself.
-    Figures.FailureRate = EjectRate * 0.9;
-  } else if (!Failed && Figures.FailureRate < EjectRate / 4) {
+    Figures.Failures.set(EjectRate * 0.9, Now);
+  } else if (!Failed && Rate < EjectRate / 4) {
     Figures.Ejection = milliseconds(0);
   }
 }
--- a/hyssopledge/state/placement.h
+++ b/hyssopledge/state/placement.h
@@ -4,10 +4,13 @@
 /// Load patterns that it answers:
 /// - A shift of callers to one data centre: the own data centre is preferred
 ///   only while its targets answer in time, then others take the rest.
-/// - One slow target: it is judged by the latency that this daemon saw.
-/// - One target that fails part of its requests: its failure rate counts as
-///   added latency, and above EjectRate it gets nothing for a time. The rate
-///   decays, so that the target is tried again.
+/// - One slow target: it is judged by the latency that this daemon saw, and by
+///   what its own daemon sees of all runs, those that have not ended included,
+///   so that not each entry daemon has to lose requests there first. The report
+///   loses its meaning in time, and the target is tried again.
+/// - One target that fails part of its requests: its failure rate, as this
+///   daemon or its own daemon sees it, counts as added latency, and above
+///   EjectRate it gets nothing for a time.
 /// - Cold targets: a target without figures is tried at once; its own daemon
 ///   refuses what it can't run.
 #pragma once
@@ -27,7 +30,22 @@
   std::uint32_t Running = 0;
   std::uint32_t Waiting = 0;
   std::uint32_t Slots = 0;
-  milliseconds Wait{0}; // expected by an ordinary request
+  milliseconds Wait{0};             // expected by an ordinary request
+  std::uint32_t SlowPercent = 100;  // run times now, of the usual ones
+  std::uint32_t FailurePercent = 0; // of the runs of all callers lately
+};
+
+/// Part of failures among outcomes; it decays, as it loses its meaning without
+/// new ones.
+class failure_rate {
+public:
+  void record(bool Failed, time_point Now);
+  void set(double Rate, time_point Now);
+  double at(time_point Now) const;
+
+private:
+  double Rate = 0; // at When
+  time_point When{};
 };
 
 /// A target that may get the request.
@@ -55,6 +73,7 @@
   Answered, // a whole answer that is not a failure
   Failed,   // the target failed it, or no whole answer came
   Refused,  // not run; says nothing of the target's health
+  Unended,  // not ended in the time that it had; the target's daemon knows more
 };
 
 class placement {
@@ -86,8 +105,7 @@
     std::uint32_t SentSince = 0; // since the last report
     load_report Load;
     time_point LoadAt{};
-    double FailureRate = 0; // at FailureAt; decays
-    time_point FailureAt{};
+    failure_rate Failures;
     std::uint32_t Samples = 0;
     milliseconds Ejection{0};
     time_point EjectedUntil{};
@@ -95,6 +113,9 @@
   };
 
   static double failureRate(const figures &Figures, time_point Now);
+  /// Run time of the kind there, with its waits.
+  static double latencyMs(const figures &Figures, const std::string &Kind,
+                          double Typical, time_point Now);
   double waitMs(const figures &Figures, std::uint32_t Slots,
                 time_point Now) const;
 
--- a/hyssopledge/state/retry_allowance.cpp
+++ b/hyssopledge/state/retry_allowance.cpp
@@ -4,12 +4,15 @@
 
 namespace hyssopledge::state {
 
-double retry_allowance::capacity() const {
-  return std::max(1.0, Settings.Slack * Settings.Part /
-                           static_cast<double>(Daemons));
+/// One half of the slack is saved up, the other half comes back within a
+/// window, so that no window sees more than all of it.
+double retry_allowance::slackShare() const {
+  constexpr double Half = 0.5;
+  return Settings.Slack * Settings.Part * Half / static_cast<double>(Daemons);
 }
 
-/// The slack comes back evenly over one window.
+double retry_allowance::capacity() const { return std::max(1.0, slackShare()); }
+
 retry_allowance::bucket &retry_allowance::filled(const std::string &Service,
                                                  time_point Now) {
   const auto [Found, New] = Buckets.try_emplace(Service);
@@ -20,7 +23,8 @@
     const double Windows =
         std::chrono::duration<double>(Now - Bucket.FilledAt).count() /
         static_cast<double>(Settings.Window.count());
-    Bucket.Tokens = std::min(capacity(), Bucket.Tokens + capacity() * Windows);
+    Bucket.Tokens =
+        std::min(capacity(), Bucket.Tokens + slackShare() * Windows);
   }
   Bucket.FilledAt = Now;
   return Bucket;
@@ -29,7 +33,14 @@
 void retry_allowance::onRequest(const std::string &Service, time_point Now) {
   bucket &Bucket = filled(Service, Now);
   Bucket.Tokens =
-      std::min(2 * capacity(), Bucket.Tokens + Settings.Ratio * Settings.Part);
+      std::min(capacity(), Bucket.Tokens + Settings.Ratio * Settings.Part);
+}
+
+void retry_allowance::onNestedCall(const std::string &Service, double Share,
+                                   time_point Now) {
+  bucket &Bucket = filled(Service, Now);
+  // A debt of one window's slack at most, so that it ends.
+  Bucket.Tokens = std::max(-capacity(), Bucket.Tokens - Share);
 }
 
 bool retry_allowance::tryTake(const std::string &Service, time_point Now) {
--- a/hyssopledge/state/retry_allowance.h
+++ b/hyssopledge/state/retry_allowance.h
@@ -19,9 +19,9 @@
   double Ratio = 0.2;              // repeats for each request, all daemons
   double Slack = 64;               // repeats beyond Ratio in one window, all
   std::chrono::seconds Window{10}; // over which both are counted
-  /// Part of the budget that is used. The rest covers the calls that repeated
-  /// requests make in turn, and windows that begin between two of ours.
-  double Part = 0.5;
+  /// Part of the budget that is used. The rest covers daemons that count fewer
+  /// members than there are.
+  double Part = 0.9;
 };
 
 class retry_allowance {
@@ -34,6 +34,9 @@
   void onRequest(const std::string &Service, time_point Now);
   /// Takes one repeat; false when the share is used up.
   bool tryTake(const std::string &Service, time_point Now);
+  /// Counts a call that a repeated run made, which nobody decided on. Share is
+  /// the probability that a repeated run made it.
+  void onNestedCall(const std::string &Service, double Share, time_point Now);
 
 private:
   struct bucket {
@@ -41,6 +44,7 @@
     time_point FilledAt{};
   };
   bucket &filled(const std::string &Service, time_point Now);
+  double slackShare() const; // of one window
   double capacity() const;
 
   retry_allowance_settings Settings;
--- a/hyssopledge/state/slot_queue.cpp
+++ b/hyssopledge/state/slot_queue.cpp
@@ -10,6 +10,18 @@
 
 // Weight of the newest run in a mean.
 constexpr double NewestWeight = 0.1;
+// In the usual run times while the upstream is slow: they change little.
+constexpr double NewestWeightSlow = 0.01;
+// Kept of the sums behind slowness() at each run: they hold about ten runs, and
+// half of them must be there.
+constexpr double SlowKeep = 0.9;
+constexpr double RunsToJudge = 5;
+// Usual run times after which an unfinished run is remarkable, and which one
+// run can add: run times of one kind scatter by about their mean.
+constexpr double CommonScatter = 2;
+constexpr double MaxBeyond = 4;
+// Without runs the sums lose their meaning.
+constexpr double SlowMemoryMs = 3000;
 // Kinds with a smaller part of the runs say nothing of the common run time.
 constexpr double NotablePart = 0.05;
 // Memory of the slot time that requests before their aim take.
@@ -39,12 +51,12 @@
 
 } // namespace
 
-void run_time_table::record(const std::string &Kind, milliseconds RunTime) {
+void run_time_table::record(const std::string &Kind, milliseconds RunTime,
+                            double Weight) {
   const auto Ms = static_cast<double>(RunTime.count());
   figure &Figure = Kinds[Kind];
-  Figure.MeanMs = Figure.Runs == 0
-                      ? Ms
-                      : Figure.MeanMs + NewestWeight * (Ms - Figure.MeanMs);
+  const double Even = 1 / static_cast<double>(Figure.Runs + 1);
+  Figure.MeanMs += std::max(Even, Weight) * (Ms - Figure.MeanMs);
   ++Figure.Runs;
   ++Runs;
 }
@@ -57,6 +69,11 @@
              : milliseconds(static_cast<std::int64_t>(Found->second.MeanMs));
 }
 
+bool run_time_table::established(const std::string &Kind) const {
+  const auto Found = Kinds.find(Kind);
+  return Found != Kinds.end() && Found->second.Runs >= RunsToJudge;
+}
+
 milliseconds run_time_table::longest() const {
   double Longest = 0;
   for (const auto &[Kind, Figure] : Kinds)
@@ -70,6 +87,35 @@
   return RunTimes.mean(Request.Kind, Request.Guess);
 }
 
+double slot_queue::excessMs(time_point Now) const {
+  const double Passed =
+      std::chrono::duration<double, std::milli>(Now - ExcessAt).count();
+  return ExcessMs * std::exp(-Passed / SlowMemoryMs);
+}
+
+/// What the latest runs took as a multiple of the usual times. Those that have
+/// not ended yet count as far as they exceed what runs commonly scatter.
+double slot_queue::slowFactor(time_point Now) const {
+  if (LatestRuns < RunsToJudge || UsualMs <= 0)
+    return 1;
+  double Excess = excessMs(Now);
+  for (const run &Run : Running)
+    if (Run.Established)
+      Excess +=
+          std::max(0.0, static_cast<double>((inMilliseconds(Now - Run.Started) -
+                                             scaled(Run.Usual, CommonScatter))
+                                                .count()));
+  return 1 + Excess / UsualMs;
+}
+
+void slot_queue::judgeSlowness(time_point Now) {
+  Slow = slowFactor(Now) >= (Slow ? SlowUntil : SlowFrom);
+}
+
+double slot_queue::slowness(time_point Now) const {
+  return Slow ? std::max(slowFactor(Now), SlowFrom) : 1;
+}
+
 bool slot_queue::isShort(const slot_request &Request) const {
   return mean(Request) <= scaled(RunTimes.longest(), ShortPart);
 }
@@ -127,6 +173,7 @@
 }
 
 slot_decision slot_queue::enter(const slot_request &Request, time_point Now) {
+  judgeSlowness(Now);
   slot_decision Decision;
   Decision.ExpectedWait = waitFor(Request, Now);
   const milliseconds Run = mean(Request);
@@ -178,7 +225,9 @@
         static_cast<double>(mean(Request).count());
     OnTimeAt = Now;
   }
-  Running.push_back({Request.Ticket, Request.Kind, Now, mean(Request)});
+  Running.push_back({Request.Ticket, Request.Kind, Now, mean(Request),
+                     UsualTimes.mean(Request.Kind, Request.Guess),
+                     UsualTimes.established(Request.Kind)});
 }
 
 void slot_queue::fill(time_point Now, std::vector<slot_release> &Out) {
@@ -188,7 +237,7 @@
       if (before(It->Request, First->Request, Now))
         First = It;
     start(First->Request, Now);
-    Out.push_back({First->Request.Ticket, true});
+    Out.push_back({First->Request.Ticket, true, ""});
     Waiting.erase(First);
   }
 }
@@ -201,9 +250,26 @@
                    [&](const run &Run) { return Run.Ticket == Ticket; });
   if (Found == Running.end())
     return Out;
-  if (RunTime.count() > 0)
-    RunTimes.record(Found->Kind, RunTime);
+  const auto Passed = inMilliseconds(Now - Found->Started);
+  const auto Usual = static_cast<double>(Found->Usual.count());
+  const double Beyond =
+      std::min(static_cast<double>(Passed.count()) - Usual, MaxBeyond * Usual);
+  if (Found->Established && RunTime.count() > 0) {
+    ExcessMs = excessMs(Now) * SlowKeep + Beyond;
+    UsualMs = UsualMs * SlowKeep + Usual;
+    LatestRuns = LatestRuns * SlowKeep + 1;
+    ExcessAt = Now;
+  } else if (Found->Established) {
+    ExcessMs = excessMs(Now) + std::max(0.0, Beyond);
+    ExcessAt = Now;
+  }
+  if (RunTime.count() > 0) {
+    RunTimes.record(Found->Kind, RunTime, NewestWeight);
+    UsualTimes.record(Found->Kind, RunTime,
+                      Slow ? NewestWeightSlow : NewestWeight);
+  }
   Running.erase(Found);
+  judgeSlowness(Now);
   Out = expire(Now);
   return Out;
 }
@@ -213,16 +279,18 @@
   fill(Now, Out);
   std::erase_if(Waiting, [&](waiting_request &Entry) {
     const slot_request &Request = Entry.Request;
-    bool Hopeless = Now + mean(Request) > Request.Deadline;
-    if (!Hopeless && !Entry.TakenLate && !isShort(Request) &&
-        !onTime(Request, Now)) {
+    const char *Reason = nullptr;
+    if (Now + mean(Request) > Request.Deadline) {
+      Reason = "deadline";
+    } else if (!Entry.TakenLate && !isShort(Request) && !onTime(Request, Now)) {
       // It missed its aim here and is judged like a late one that arrives.
       Entry.TakenLate = true;
-      Hopeless = !lateFits(Request, Now);
+      if (!lateFits(Request, Now))
+        Reason = "late";
     }
-    if (Hopeless)
-      Out.push_back({Request.Ticket, false});
-    return Hopeless;
+    if (Reason != nullptr)
+      Out.push_back({Request.Ticket, false, Reason});
+    return Reason != nullptr;
   });
   return Out;
 }
--- a/hyssopledge/state/slot_queue.h
+++ b/hyssopledge/state/slot_queue.h
@@ -14,7 +14,10 @@
 /// - Chains of calls: the calls that running requests make are shorter than the
 ///   requests that callers send. Short requests go first, since they delay the
 ///   others little and their refusal would waste the run of their parent.
-/// - One slow upstream: its own run times, by kind of request, decide.
+/// - One slow upstream: its own run times, by kind of request, decide. One that
+///   turns slow is noticed from the runs that have not ended yet, and entry
+///   daemons are told. What it gets is not cut down here: when all upstreams
+///   are slow, refusals would only send requests around.
 #pragma once
 
 #include "hyssopledge/state/clock.h"
@@ -29,9 +32,12 @@
 /// Mean run time by kind of request, the kind being the name of its route.
 class run_time_table {
 public:
-  void record(const std::string &Kind, milliseconds RunTime);
+  /// Weight is that of the new run in the mean.
+  void record(const std::string &Kind, milliseconds RunTime, double Weight);
   /// The mean, or Guess when no run of the kind has ended.
   milliseconds mean(const std::string &Kind, milliseconds Guess) const;
+  /// Enough runs of the kind have ended to tell its usual run time.
+  bool established(const std::string &Kind) const;
   /// Longest mean of the kinds that make up a notable part of the runs.
   milliseconds longest() const;
 
@@ -66,6 +72,7 @@
 struct slot_release {
   std::uint64_t Ticket = 0;
   bool Run = false;
+  const char *Reason = ""; // of a refusal: "late" or "deadline"
 };
 
 class slot_queue {
@@ -75,10 +82,14 @@
   static constexpr double LateFill = 0.5;
   /// Bounds the memory and the time of one decision.
   static constexpr std::size_t MaxWaiting = 512;
+  /// Run times of this many times the usual ones count as slow, until they are
+  /// below the second figure.
+  static constexpr double SlowFrom = 2.5;
+  static constexpr double SlowUntil = 1.5;
 
   void setSlots(std::uint32_t Slots) { this->Slots = Slots; }
   slot_decision enter(const slot_request &Request, time_point Now);
-  /// The request has ended; RunTime 0 is not counted.
+  /// The request has ended; RunTime 0: without an answer of the upstream.
   std::vector<slot_release> leave(std::uint64_t Ticket, milliseconds RunTime,
                                   time_point Now);
   /// Refuses what can't be answered any more. Call from a timer.
@@ -93,6 +104,8 @@
   std::uint32_t waiting() const {
     return static_cast<std::uint32_t>(Waiting.size());
   }
+  /// Run times now as a multiple of the usual ones; 1 unless it counts as slow.
+  double slowness(time_point Now) const;
   /// Expected wait of an ordinary request that arrives now.
   milliseconds expectedWait(time_point Now) const;
 
@@ -106,6 +119,8 @@
     std::string Kind;
     time_point Started;
     milliseconds Mean;
+    milliseconds Usual;
+    bool Established; // Usual is more than a guess
   };
 
   milliseconds mean(const slot_request &Request) const;
@@ -120,6 +135,9 @@
   bool lateFits(const slot_request &Request, time_point Now) const;
   /// Part of the slots' time that requests before their aim took lately.
   double busyOnTime(time_point Now) const;
+  double excessMs(time_point Now) const;
+  double slowFactor(time_point Now) const;
+  void judgeSlowness(time_point Now);
   void start(const slot_request &Request, time_point Now);
   void fill(time_point Now, std::vector<slot_release> &Out);
 
@@ -128,7 +146,13 @@
   std::vector<waiting_request> Waiting;
   double OnTimeMs = 0; // slot time of requests before their aim, decaying
   time_point OnTimeAt{};
-  run_time_table RunTimes;
+  run_time_table RunTimes;   // as they are now
+  run_time_table UsualTimes; // as they are while the upstream is not slow
+  double LatestRuns = 0; // weight of the latest runs, decaying with each run
+  double UsualMs = 0;    // their usual run times
+  double ExcessMs = 0;   // what they took beyond; decays in time, too
+  time_point ExcessAt{};
+  bool Slow = false;
 };
 
 } // namespace hyssopledge::state
--- a/hyssopledge/transport/hop.cpp
+++ b/hyssopledge/transport/hop.cpp
@@ -45,6 +45,8 @@
           std::to_string(Call.Priority) + Separator;
   if (Call.MayBeLate)
     Text += 'l';
+  if (Call.Repeat)
+    Text += 'r';
   return Text;
 }
 
@@ -64,6 +66,7 @@
   Call.TimeLeft = state::milliseconds(TimeLeft);
   Call.AimLeft = state::milliseconds(AimLeft);
   Call.MayBeLate = Parts[6].find('l') != std::string_view::npos;
+  Call.Repeat = Parts[6].find('r') != std::string_view::npos;
   return Call;
 }
 
@@ -75,7 +78,9 @@
     Text += Separator + std::to_string(Load.Running) + Separator +
             std::to_string(Load.Waiting) + Separator +
             std::to_string(Load.Slots) + Separator +
-            std::to_string(Load.Wait.count());
+            std::to_string(Load.Wait.count()) + Separator +
+            std::to_string(Load.SlowPercent) + Separator +
+            std::to_string(Load.FailurePercent);
   }
   Answer.Response.set(HopAnswerField, Text);
 }
@@ -93,9 +98,10 @@
   }
   state::load_report Load;
   std::int64_t Wait = 0;
-  if (Parts.size() == 7 && readNumber(Parts[3], Load.Running) &&
+  if (Parts.size() == 9 && readNumber(Parts[3], Load.Running) &&
       readNumber(Parts[4], Load.Waiting) && readNumber(Parts[5], Load.Slots) &&
-      readNumber(Parts[6], Wait)) {
+      readNumber(Parts[6], Wait) && readNumber(Parts[7], Load.SlowPercent) &&
+      readNumber(Parts[8], Load.FailurePercent)) {
     Load.Wait = state::milliseconds(Wait);
     Answer.Load = Load;
   }
--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -35,6 +35,8 @@
 constexpr milliseconds HopSlack{80};
 // Less time than this is not enough for another attempt.
 constexpr milliseconds LeastTimeForRetry{10};
+// Of the budget of repeats, for those after a run.
+constexpr double RerunPart = 0.5;
 // For a caller that sends no deadline.
 constexpr milliseconds DefaultTime{10'000};
 
@@ -42,6 +44,8 @@
 constexpr milliseconds LeastRetryAfter{50};
 // Callers honour a time of up to a third of what they have left.
 constexpr int RetryAfterPart = 3;
+// Over which callers return that were not refused for load.
+constexpr milliseconds ShortSpread{50};
 // Before a document is in force: about what a start takes.
 constexpr milliseconds NotReadyRetryAfter{500};
 
@@ -49,6 +53,11 @@
   return std::chrono::duration_cast<milliseconds>(Time);
 }
 
+/// Whether a refusal with the reason comes from work that waits.
+bool isAboutLoad(std::string_view Reason) {
+  return Reason == "late" || Reason == "deadline" || Reason == "full";
+}
+
 const char *wordOf(hop_outcome Outcome) {
   switch (Outcome) {
   case hop_outcome::Ran:
@@ -61,6 +70,12 @@
   return Unknown;
 }
 
+state::retry_allowance_settings rerunSettings(const mesh_plane_options &From) {
+  state::retry_allowance_settings Settings = From.Retries;
+  Settings.Part *= RerunPart;
+  return Settings;
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -102,6 +117,9 @@
     Repeatable = Route->Idempotent;
     chooseService();
     Plane.Retries.onRequest(Service, Started);
+    Plane.Reruns.onRequest(Service, Started);
+    // Part of what comes from this instance are calls of its upstream's runs.
+    Plane.Retries.onNestedCall(Service, Plane.Port.repeatShare(), Started);
     Plane.Calls.emplace(this, shared_from_this());
     Caller->onCancel([Weak = weak_from_this()] {
       if (const auto Self = Weak.lock())
@@ -126,6 +144,7 @@
                           state::placement_outcome::Failed, milliseconds(0),
                           Now);
     ++Sends;
+    ++Repeats;
     MayHaveRun = true;
     LastReason = "peer-lost";
     Dead.push_back(Target.Upstream);
@@ -196,7 +215,7 @@
     const auto Found = std::find_if(
         Targets.Targets.begin(), Targets.Targets.end(),
         [&](const target &T) { return T.Upstream == Choice.Instance; });
-    if (Choice.Busy || Candidates.size() == 1)
+    if (Choice.Busy || Candidates.size() == 1 || Hops + 1 >= MaxHops)
       TriedLate = true;
     Expected = Choice.Expected;
     send(*Found, Now);
@@ -216,6 +235,7 @@
     Hop.AimLeft = inMilliseconds(AimAt - Now);
     Hop.Priority = Route->Priority;
     Hop.MayBeLate = TriedLate;
+    Hop.Repeat = Sends > 0;
     const std::uint64_t Sent = ++Epoch;
     if (To.Instance == Plane.Options.Instance) {
       // The handler may be called before run() returns.
@@ -290,13 +310,7 @@
         Answer.Outcome == hop_outcome::Ran ? Answer.Response.result_int() : 0;
     const bool Failed = Status >= 500 || Answer.Outcome == hop_outcome::Unknown;
     Plane.Placement.onEnd(Target.Upstream, Route->Name,
-                          Answer.Outcome == hop_outcome::NotRun
-                              ? state::placement_outcome::Refused
-                          : Failed && Status != 504
-                              ? state::placement_outcome::Failed
-                          : Failed ? state::placement_outcome::Refused
-                                   : state::placement_outcome::Answered,
-                          Latency, Now);
+                          placementOutcome(Answer, Status), Latency, Now);
     if (Answer.Load)
       Plane.Placement.onLoad(Target.Upstream, *Answer.Load, Now);
     if (Answer.Outcome != hop_outcome::NotRun || Answer.Arrived)
@@ -309,9 +323,12 @@
         Dead.push_back(Target.Upstream);
       return onNotRun(Answer, Now);
     }
+    if (Repeats > 0)
+      Plane.RepeatGain.record(Route->Name, Failed, Now);
     if (!Failed)
       return deliver(std::move(Answer));
-    if (mayRepeat(Now) && Answer.Reason != "poison") {
+    if (Answer.Reason != "poison" && mayRepeat(Now)) {
+      ++Repeats;
       logRetry(Answer);
       return attempt();
     }
@@ -321,6 +338,17 @@
               Unknown, Answer.Reason.c_str());
   }
 
+  static state::placement_outcome placementOutcome(const hop_answer &Answer,
+                                                   unsigned Status) {
+    if (Answer.Outcome == hop_outcome::NotRun)
+      return state::placement_outcome::Refused;
+    if (Status == 504 || Answer.Reason == "timeout")
+      return state::placement_outcome::Unended;
+    return Status >= 500 || Answer.Outcome == hop_outcome::Unknown
+               ? state::placement_outcome::Failed
+               : state::placement_outcome::Answered;
+  }
+
   void onNotRun(const hop_answer &Answer, state::time_point Now) {
     const bool More = Hops < MaxHops && Now < Deadline &&
                       Answer.Reason != "poison" && Answer.Reason != "deadline";
@@ -336,9 +364,11 @@
   bool mayRepeat(state::time_point Now) {
     if (!Repeatable || Sends >= Route->MaxAttempts || Hops >= MaxHops)
       return false;
-    if (Deadline - Now < std::max(LeastTimeForRetry, Expected / 2))
+    if (Deadline - Now < std::max(LeastTimeForRetry, Expected / 2) ||
+        !Plane.RepeatGain.likely(Route->Name, Now))
       return false;
-    return Plane.Retries.tryTake(Service, Now);
+    return Plane.Reruns.tryTake(Service, Now) &&
+           Plane.Retries.tryTake(Service, Now);
   }
 
   /// No attempt is left.
@@ -359,9 +389,12 @@
   /// "Not run": the caller may come back when the backlog is expected to be
   /// gone, spread over the rest of the time that it honours.
   void refuse(const char *Reason, milliseconds Backlog) {
-    const milliseconds Most =
+    milliseconds Most =
         std::max(inMilliseconds(Deadline - boot_clock::now()) / RetryAfterPart,
                  milliseconds(0));
+    // Without a backlog there is nothing to wait for.
+    if (!isAboutLoad(Reason))
+      Most = std::min(Most, Backlog + ShortSpread);
     const milliseconds Least = std::min(Backlog, Most);
     const auto Spread = static_cast<std::uint64_t>((Most - Least).count());
     RetryAfter = Least + milliseconds(static_cast<std::int64_t>(
@@ -403,7 +436,8 @@
     forgetPeer();
     if (!Target.Upstream.empty())
       Plane.Placement.onEnd(Target.Upstream, Route->Name,
-                            state::placement_outcome::Refused, milliseconds(0),
+                            state::placement_outcome::Unended,
+                            inMilliseconds(boot_clock::now() - AttemptStarted),
                             boot_clock::now());
     if (Sending)
       Sending->cancel();
@@ -465,8 +499,9 @@
   bool TriedLate = false; // an upstream was asked to answer late
   bool MayHaveRun = false;
   bool Done = false;
-  unsigned Hops = 0;  // daemons that were asked
-  unsigned Sends = 0; // arrivals at upstreams, as far as known
+  unsigned Hops = 0;    // daemons that were asked
+  unsigned Sends = 0;   // arrivals at upstreams, as far as known
+  unsigned Repeats = 0; // sends after one that may have run
   std::vector<std::string> Tried;
   std::vector<std::string> Dead; // of Tried, those that can't run it at all
   std::string LastReason;
@@ -490,7 +525,8 @@
     : Context(Context), Options(std::move(Options)), Hooks(std::move(Hooks)),
       Dialect(Dialect), Port(Port), Metrics(Metrics),
       Pool(Context, this->Options.Peers), Random(this->Options.Seed),
-      Retries(this->Options.Retries), PeerTimer(Context) {}
+      Retries(this->Options.Retries), Reruns(rerunSettings(this->Options)),
+      PeerTimer(Context) {}
 
 mesh_plane::~mesh_plane() = default;
 
@@ -559,6 +595,7 @@
     Targets.Rule = coordination::versionRule(Directory.rollout(Service));
   Placement.retain(Known);
   Retries.setDaemons(Directory.size());
+  Reruns.setDaemons(Directory.size());
   std::erase_if(Peers, [&](const auto &Entry) {
     const auto *Member = Directory.find(Entry.first);
     return Entry.second.Calls.empty() && (Member == nullptr || Member->Left);
--- a/hyssopledge/transport/mesh_plane.h
+++ b/hyssopledge/transport/mesh_plane.h
@@ -7,6 +7,7 @@
 #include "hyssopledge/coordination/fleet_directory.h"
 #include "hyssopledge/state/placement.h"
 #include "hyssopledge/state/random.h"
+#include "hyssopledge/state/repeat_gain.h"
 #include "hyssopledge/state/retry_allowance.h"
 #include "hyssopledge/state/route_table.h"
 #include "hyssopledge/state/weighted_turns.h"
@@ -119,7 +120,11 @@
   http_client_pool Pool;
   state::random_engine Random;
   state::placement Placement;
-  state::retry_allowance Retries;
+  state::retry_allowance Retries; // sends beyond the first of a request
+  /// Those after a run, which cost the service another run. They use up half of
+  /// the budget, so that refused requests find some of it left.
+  state::retry_allowance Reruns;
+  state::repeat_gain RepeatGain;
   std::shared_ptr<const state::route_table> Table;
   std::unordered_map<std::string, service_targets> Services;
   std::unordered_map<std::string, state::weighted_turns> SplitTurns; // by route
--- a/hyssopledge/transport/upstream_port.cpp
+++ b/hyssopledge/transport/upstream_port.cpp
@@ -81,6 +81,7 @@
   }
 
   std::uint64_t fingerprint() const { return Fingerprint; }
+  bool sent() const { return Sending != nullptr; }
 
   upstream_port &Port;
   const std::uint64_t Ticket;
@@ -119,6 +120,9 @@
         Port.onCut(Fingerprint);
       if (Result.Cause == exchange_cause::BadAnswer)
         Port.count(Route, true, RunTime);
+      if (Result.Cause == exchange_cause::BadAnswer ||
+          Result.Cause == exchange_cause::Cut)
+        Port.Failures.record(true, boot_clock::now());
     }
     // The slot is given on before the answer, so that the load is current.
     Port.Exchanges.erase(Ticket);
@@ -140,12 +144,15 @@
       Answer.Outcome = hop_outcome::Unknown;
       Answer.Reason = "bad-answer";
       Port.count(Call.Route, true, RunTime);
+      Port.Failures.record(true, boot_clock::now());
       return;
     } else {
       Answer.Outcome = hop_outcome::Ran;
       // The deadline was the caller's; it says nothing of the upstream.
-      if (Status != 504)
+      if (Status != 504) {
         Port.count(Call.Route, Status >= 500, RunTime);
+        Port.Failures.record(Status >= 500, boot_clock::now());
+      }
       if (Status < 500 && Port.AnySighting)
         Port.Poison.addSuccess(Fingerprint);
     }
@@ -193,9 +200,24 @@
 }
 
 state::load_report upstream_port::load() const {
-  return {
-      Queue.running(), Queue.waiting(), Queue.slots(),
-      std::min(Queue.expectedWait(boot_clock::now()), milliseconds(60'000))};
+  const state::time_point Now = boot_clock::now();
+  state::load_report Load;
+  Load.Running = Queue.running();
+  Load.Waiting = Queue.waiting();
+  Load.Slots = Queue.slots();
+  Load.Wait = std::min(Queue.expectedWait(Now), milliseconds(60'000));
+  Load.SlowPercent = static_cast<std::uint32_t>(100 * Queue.slowness(Now));
+  Load.FailurePercent = static_cast<std::uint32_t>(100 * Failures.at(Now));
+  return Load;
+}
+
+double upstream_port::repeatShare() const {
+  if (Queue.running() == 0)
+    return 0;
+  std::size_t Repeats = 0;
+  for (const auto &[Ticket, Exchange] : Exchanges)
+    Repeats += Exchange->sent() && Exchange->Call.Repeat ? 1 : 0;
+  return static_cast<double>(Repeats) / Queue.running();
 }
 
 hop_answer upstream_port::refusal(const char *Reason) const {
@@ -288,7 +310,7 @@
     const auto Found = Exchanges.find(Release.Ticket);
     if (Found != Exchanges.end()) {
       const auto Exchange = Found->second;
-      Exchange->refuse("deadline");
+      Exchange->refuse(Release.Reason);
     }
   }
 }
--- a/hyssopledge/transport/upstream_port.h
+++ b/hyssopledge/transport/upstream_port.h
@@ -60,6 +60,8 @@
   std::shared_ptr<port_exchange> run(hop_call Call, http_request Request,
                                      handler Handler);
   state::load_report load() const;
+  /// Part of the running requests that were sent to an upstream before.
+  double repeatShare() const;
   std::size_t active() const { return Exchanges.size(); }
 
   //--- Evidence ---------------------------------------------------------------
@@ -105,6 +107,7 @@
   boost::asio::steady_timer ProbeTimer;
   unsigned ConnectFailures = 0; // in a row
 
+  state::failure_rate Failures; // of all runs
   std::uint64_t CountedOrder = 0;
   coordination::route_counts Counts;
 };
--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -347,7 +347,8 @@
   }
 }
 
-TEST_CASE("after a failure of the whole fleet all find each other's upstreams") {
+TEST_CASE(
+    "after a failure of the whole fleet all find each other's upstreams") {
   auto Fleet = sixDaemons();
   for (const std::string &Name : Six)
     Fleet->serve(Name, "v1");
@@ -363,6 +364,8 @@
     Upstream.State = upstream_state::Serving;
     Upstream.Born = 20;
     Fleet->Nodes.at(Name)->Agent->setUpstream(Upstream);
+    Fleet->Platform.DropBefore = 1; // the platform is late
+    Fleet->run(milliseconds(60));
   }
   Fleet->run(milliseconds(300));
   for (const std::string &Name : Six)
--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -372,6 +372,8 @@
        counts(200, 1, 100), rollout_state::RolledBack, 0, 0},
       {"slow while it is cold", 3000, 2000, 500, 24, true, counts(12, 0, 220),
        counts(200, 1, 100), Running, 1, 1000},
+      {"a short route takes two milliseconds longer", 3000, 2000, 500, 24,
+       false, counts(63, 0, 2), counts(200, 0, 0), Running, 1, 1000},
       {"both versions fail alike", 3000, 2000, 500, 24, false,
        counts(40, 8, 100), counts(400, 80, 100), Running, 1, 1000},
       {"a few failures", 3000, 2000, 500, 24, false, counts(40, 2, 100),
--- a/tests/slot_queue_test.cpp
+++ b/tests/slot_queue_test.cpp
@@ -279,3 +279,84 @@
   CHECK_FALSE(Queue.cancel(2));
   CHECK(Queue.leave(1, milliseconds(10), Start).empty());
 }
+
+namespace {
+
+/// Runs of "page" on 12 slots, 100 ms on average, that scatter; Factor by time.
+struct slowness_replay {
+  slot_queue Queue;
+  std::mt19937_64 Random{11};
+  std::map<std::uint64_t, time_point> Ends;
+  std::uint64_t Ticket = 0;
+
+  slowness_replay() { Queue.setSlots(12); }
+
+  void step(time_point Now, double Factor, double PerSecond) {
+    for (auto It = Ends.begin(); It != Ends.end();) {
+      if (It->second > Now) {
+        ++It;
+        continue;
+      }
+      const std::uint64_t T = It->first;
+      It = Ends.erase(It);
+      for (const slot_release &R :
+           Queue.leave(T, milliseconds(100), Now)) // any but 0
+        if (R.Run)
+          begin(R.Ticket, Factor, Now);
+    }
+    if (std::uniform_real_distribution<double>(0, 1)(Random) >=
+        PerSecond / 1000)
+      return;
+    slot_request Request = request(++Ticket, "page", 400, 1000, Now);
+    Request.MayBeLate = false;
+    const auto Decision = Queue.enter(Request, Now);
+    if (Decision.Verdict == slot_verdict::Run)
+      begin(Ticket, Factor, Now);
+  }
+  void begin(std::uint64_t T, double Factor, time_point Now) {
+    // Mean 1, standard deviation about 1.
+    std::lognormal_distribution<double> Scatter(-0.32, 0.8);
+    Ends[T] = Now + milliseconds(static_cast<int>(
+                        std::min(1000.0, 100 * Factor * Scatter(Random))));
+  }
+};
+
+} // namespace
+
+TEST_CASE("an upstream that turns slow is noticed before its runs end") {
+  struct slow_case {
+    const char *Name;
+    double Factor;    // of the run times for 4 s
+    int NoticedMs;    // after the change, at most; 0: never
+    int RecoveredMs;  // after the end
+    double PerSecond; // of the slots: 120 are all
+  };
+  for (const slow_case &Case :
+       {slow_case{"scattered", 1, 0, 0, 90}, slow_case{"busy", 1, 0, 0, 115},
+        slow_case{"twelve times", 12, 500, 4000, 90},
+        slow_case{"five times", 5, 700, 4000, 90}}) {
+    CAPTURE(std::string(Case.Name));
+    slowness_replay Replay;
+    int Noticed = 0;
+    int Recovered = 0;
+    constexpr int From = 10'000;
+    constexpr int Until = 14'000;
+    for (int Ms = 0; Ms < 30'000; ++Ms) {
+      const time_point Now = Start + milliseconds(Ms);
+      Replay.step(Now, Ms >= From && Ms < Until ? Case.Factor : 1,
+                  Case.PerSecond);
+      const bool Slow = Replay.Queue.slowness(Now) > 1;
+      if (Slow && Noticed == 0)
+        Noticed = Ms;
+      if (Slow)
+        Recovered = Ms;
+    }
+    if (Case.NoticedMs == 0) {
+      CHECK(Noticed == 0);
+      continue;
+    }
+    CHECK(Noticed >= From);
+    CHECK(Noticed <= From + Case.NoticedMs);
+    CHECK(Recovered <= Until + Case.RecoveredMs);
+  }
+}
