Pass over daemons whose instance has lost power; repeat missed writes

Change: a connect timeout counts as a failed connection; a record that the platform missed is written when it answers again.

Tests seen failing first: a daemon whose instance has lost power is passed over.

--- a/hyssopledge/coordination/fleet_agent.cpp
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -176,6 +176,7 @@
         if (!*Alive)
           return;
         if (Granted.has_error()) {
+          RecordChanged = true;
           log("register_failed", "reason=\"" + Granted.error().text() + "\"");
           return;
         }
@@ -185,6 +186,7 @@
 }
 
 void fleet_agent::putSelf() {
+  RecordChanged = false;
   const std::string Key = Dialect.membersPrefix() + Options.Instance;
   platform_txn Txn;
   if (!FormerRead)
@@ -199,6 +201,7 @@
           // The lease may have ended.
           if (Result.error().is(state::errc::NotFound))
             Lease = 0;
+          RecordChanged = true;
           log("register_failed", "reason=\"" + Result.error().text() + "\"");
           return;
         }
@@ -475,7 +478,7 @@
     stopFollowing();
   if (!Document && !ReadingInput && Now >= NextFollow)
     readInput(true);
-  if (!Registered && Now >= NextRegister)
+  if ((!Registered || RecordChanged) && Now >= NextRegister)
     registerSelf();
   else if (Registered && Now >= NextRegister)
     renewRegistration();
--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -231,9 +231,10 @@
   bool Following = false; // reads or watches the operators' input
   bool PlatformReached = false;
   bool Registered = false;
-  bool FormerRead = false;  // the platform's record of an earlier start
-  bool MembersRead = false; // with this daemon among them
-  bool Synced = false;      // another member has sent all of its records
+  bool RecordChanged = false; // the platform's record of this daemon is older
+  bool FormerRead = false;    // the platform's record of an earlier start
+  bool MembersRead = false;   // with this daemon among them
+  bool Synced = false;        // another member has sent all of its records
   bool MembersAsked = false;
   bool Announced = false; // the others know of this start
   bool AskFar = true;     // whom to ask for records
--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -208,6 +208,11 @@
       const auto Self = Weak.lock();
       if (Error || !Self || Self->Done)
         return;
+      // A connection that is not opened in its time says that the peer is gone,
+      // while the request has time left.
+      if (!Self->Written && boot_clock::now() < Self->Deadline)
+        return Self->finish(exchange_cause::Connect,
+                            "no connection to " + Self->Address + " in time");
       Self->finish(exchange_cause::Timeout,
                    "no whole answer from " + Self->Address + " in time");
     });
--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -402,6 +402,23 @@
   CHECK(Again.Agent->formerUpstream()->State == upstream_state::Draining);
 }
 
+TEST_CASE("a change that the platform missed is written after its outage") {
+  auto Fleet = sixDaemons();
+  Fleet->serve("b-3", "v1");
+  Fleet->run(milliseconds(200));
+  Fleet->Platform.Down = true;
+  upstream_record Gone = Fleet->Nodes.at("b-3")->Agent->self().Upstream;
+  Gone.State = upstream_state::Gone;
+  Fleet->Nodes.at("b-3")->Agent->setUpstream(Gone);
+  Fleet->run(milliseconds(5000));
+  Fleet->Platform.Down = false;
+  Fleet->run(milliseconds(2500));
+  const auto Stored = coordination::decodeMember(
+      Fleet->Platform.entries().at("hyssop/members/b-3").Value);
+  REQUIRE(Stored.has_value());
+  CHECK(Stored.value().Upstream.State == upstream_state::Gone);
+}
+
 TEST_CASE("a start costs few calls to the platform") {
   struct cost_case {
     const char *Name;
--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -8,7 +8,9 @@
 
 #include "support/http_fixture.h"
 
+#include <array>
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 #include <future>
@@ -20,6 +22,7 @@
 
 using namespace hyssopledge;
 using namespace hyssopledge::tests;
+namespace asio = boost::asio;
 using coordination::upstream_state;
 using std::chrono::milliseconds;
 
@@ -173,6 +176,33 @@
   };
 }
 
+/// An address at which connections are neither accepted nor refused.
+class silent_address {
+public:
+  silent_address() {
+    Listener.bind({asio::ip::make_address("127.0.0.1"), 0});
+    Listener.listen(0);
+    // The queue of the listener takes one or two.
+    for (auto &Filler : Fillers) {
+      Filler.non_blocking(true);
+      boost::system::error_code Ignored;
+      Filler.connect(Listener.local_endpoint(), Ignored);
+    }
+  }
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Listener.local_endpoint().port());
+  }
+
+private:
+  asio::io_context Context;
+  asio::ip::tcp::acceptor Listener{Context, asio::ip::tcp::v4()};
+  std::array<asio::ip::tcp::socket, 4> Fillers{
+      asio::ip::tcp::socket(Context, asio::ip::tcp::v4()),
+      asio::ip::tcp::socket(Context, asio::ip::tcp::v4()),
+      asio::ip::tcp::socket(Context, asio::ip::tcp::v4()),
+      asio::ip::tcp::socket(Context, asio::ip::tcp::v4())};
+};
+
 /// Sends raw bytes for the first request of each connection, then closes.
 scripted_upstream::script sending(const std::string &Bytes) {
   return [=](upstream_connection &Connection) {
@@ -399,6 +429,31 @@
   }
 }
 
+TEST_CASE("a daemon whose instance has lost power is passed over") {
+  const silent_address Dead;
+  mesh Mesh({answering("x")});
+  Mesh.Entry.run([&] {
+    // It is in the own data centre, the other one is farther away.
+    auto Record = Mesh.Targets[0]->record();
+    Record.DataCentre = "dc2";
+    Mesh.Directory.merge(Record);
+    Record.Instance = "target-dead";
+    Record.DataCentre = "dc1";
+    Record.CallAddress = Dead.address();
+    Record.Upstream.Name = "i-dead";
+    Mesh.Directory.merge(Record);
+    Mesh.Entry.Plane->setDirectory(Mesh.Directory);
+  });
+  for (const char *Path : {"/book/1", "/book/2", "/book/3"}) {
+    const auto Started = std::chrono::steady_clock::now();
+    CHECK(Mesh.call(shopRequest(http::verb::post, Path, "b")).result_int() ==
+          200);
+    // Only the first one waits for the connection.
+    if (std::string(Path) != "/book/1")
+      CHECK(std::chrono::steady_clock::now() - Started < milliseconds(200));
+  }
+}
+
 TEST_CASE("malformed and smuggled requests reach no upstream") {
   struct input_case {
     const char *Name;
