--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -94,7 +94,7 @@
   std::chrono::milliseconds FetchPatience{900};
   /// Pause between two documents from peers, so that of a quick succession only
   /// the last ones are fetched.
-  std::chrono::milliseconds FetchPause{250};
+  std::chrono::milliseconds FetchPause{500};
   /// A daemon that starts reads the document from the platform when no member
   /// has given it, compressed, within this time.
   std::chrono::milliseconds InputPatience{500};
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -185,6 +185,23 @@
   }
 }
 
+TEST_CASE("objects elsewhere in the document are no routes") {
+  const platform::operator_codec Codec;
+  for (const char *Where : {"/extra", "/virtualHosts/0/meta"}) {
+    CAPTURE(std::string(Where));
+    json Document = goodDocument();
+    const auto Before = Codec.readDocument(Document.dump());
+    REQUIRE(Before.has_value());
+    Document[json::json_pointer(Where)] = {
+        {"paths", {{{"name", "x"}, {"paths", {{{"prefix", "/x/"}}}}}}}};
+    const auto Read = Codec.readDocument(Document.dump());
+    REQUIRE(Read.has_value());
+    CHECK(Read.value()->source().Routes.size() ==
+          Before.value()->source().Routes.size());
+    CHECK(Read.value()->source().Routes[0].Host == "shop.example");
+  }
+}
+
 TEST_CASE("rollout orders and states") {
   const platform::operator_codec Codec;
   const auto Order = Codec.readOrder(
