Give large blocks back to the system; callers of a starting daemon return sooner

A start takes about 0.25 s until the document is there, and callers were sent away for 0.5 s.

Change: fixed thresholds for own mappings and for free memory at the end of the heap; Retry-After of 250 ms before the first document.

--- a/apps/hyssop_mesh/main.cpp
+++ b/apps/hyssop_mesh/main.cpp
@@ -12,6 +12,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <popt.h>
 #include <sstream>
 #include <string>
@@ -85,7 +86,23 @@
 
 } // namespace
 
+namespace {
+
+// Larger blocks are documents, their compressed forms and long bodies: they are
+// given back to the system when they are freed, and don't split the heap.
+constexpr int OwnMappingBytes = 64 * 1024;
+// Free memory at the end of the heap that is kept.
+constexpr int KeptFreeBytes = 64 * 1024;
+
+void limitHeap() {
+  ::mallopt(M_MMAP_THRESHOLD, OwnMappingBytes);
+  ::mallopt(M_TRIM_THRESHOLD, KeptFreeBytes);
+}
+
+} // namespace
+
 int main(int Argc, const char **Argv) {
+  limitHeap();
   const char *Path = nullptr;
   const char *LevelName = "info";
   int Check = 0;
--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -47,7 +47,7 @@
 // Over which callers return that were not refused for load.
 constexpr milliseconds ShortSpread{50};
 // Before a document is in force: about what a start takes.
-constexpr milliseconds NotReadyRetryAfter{500};
+constexpr milliseconds NotReadyRetryAfter{250};
 
 milliseconds inMilliseconds(boot_clock::duration Time) {
   return std::chrono::duration_cast<milliseconds>(Time);
