--- a/hyssopledge/state/repeat_gain.h
+++ b/hyssopledge/state/repeat_gain.h
@@ -22,7 +22,7 @@
   static constexpr double StopRate = 0.45;
   static constexpr double ResumeRate = 0.2;
   /// A rate without new repeats falls to 1/e of itself in this time.
-  static constexpr milliseconds Memory{1500};
+  static constexpr milliseconds Memory{2000};
 
   /// A repeat of a request of the kind ended.
   void record(const std::string &Kind, bool Failed, time_point Now);
--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -429,6 +429,16 @@
   }
 }
 
+TEST_CASE("who is turned away without a backlog may come back at once") {
+  mesh Mesh({answering("", 503, "Not-Executed: 1\r\n")});
+  for (int I = 0; I < 20; ++I) {
+    const auto Response =
+        Mesh.call(shopRequest(http::verb::post, "/book/1", "b"));
+    CHECK(Response.result_int() == 503);
+    CHECK(std::stod(std::string(Response[http::field::retry_after])) <= 0.1);
+  }
+}
+
 TEST_CASE("a daemon whose instance has lost power is passed over") {
   const silent_address Dead;
   mesh Mesh({answering("x")});
--- a/tests/mesh_state_test.cpp
+++ b/tests/mesh_state_test.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// Routes by host and path, shares by weight, and the budget of repeats.
+#include "hyssopledge/state/repeat_gain.h"
 #include "hyssopledge/state/retry_allowance.h"
 #include "hyssopledge/state/route_table.h"
 #include "hyssopledge/state/weighted_turns.h"
@@ -8,6 +9,7 @@
 #include <doctest/doctest.h>
 #include <limits>
 #include <map>
+#include <random>
 
 using namespace hyssopledge::state;
 
@@ -168,3 +170,72 @@
     }
   }
 }
+
+TEST_CASE("calls of repeated runs are held against the budget") {
+  // Each repeated run at "pages" makes two calls to "bookings", which fails
+  // calls and asks for repeats of its own.
+  retry_allowance_settings Settings;
+  constexpr std::size_t Daemons = 16;
+  std::vector<retry_allowance> All(Daemons, retry_allowance(Settings));
+  constexpr int Seconds = 40;
+  constexpr int Requests = 20; // a second, each daemon
+  constexpr double RepeatShare = 0.15;
+  std::vector<double> Repeats(Seconds, 0.0);
+  for (int Second = 0; Second < Seconds; ++Second)
+    for (retry_allowance &Daemon : All) {
+      Daemon.setDaemons(Daemons);
+      for (int I = 0; I < Requests; ++I) {
+        const time_point Now =
+            Start + std::chrono::seconds(Second) + milliseconds(I * 50);
+        Daemon.onRequest("bookings", Now);
+        Daemon.onNestedCall("bookings", RepeatShare, Now);
+        Repeats[std::size_t(Second)] += RepeatShare;
+        while (Daemon.tryTake("bookings", Now))
+          Repeats[std::size_t(Second)] += 1;
+      }
+    }
+  for (std::size_t From = 0; From + 10 <= Repeats.size(); ++From) {
+    double Window = 0;
+    for (std::size_t I = From; I < From + 10; ++I)
+      Window += Repeats[I];
+    CHECK(Window <=
+          Settings.Ratio * Requests * double(Daemons) * 10 + Settings.Slack);
+  }
+}
+
+TEST_CASE("repeats stop while they fail, and go on where they help") {
+  struct gain_case {
+    const char *Name;
+    double FailureRate; // of repeats in the first 10 s; then none fails
+    double LeastShare;  // of the failed requests that are repeated then
+    double MostShare;
+  };
+  // 5 failed requests a second at one daemon.
+  for (const gain_case &Case :
+       {gain_case{"one bad target among good ones", 0.05, 0.99, 1},
+        gain_case{"one of three targets is bad", 0.2, 0.9, 1},
+        gain_case{"a service behind fails half of the calls", 0.56, 0, 0.6},
+        gain_case{"a service behind fails all calls", 1, 0, 0.4}}) {
+    CAPTURE(std::string(Case.Name));
+    constexpr int Seeds = 20;
+    int Repeated = 0;
+    int RepeatedLater = 0;
+    for (unsigned Seed = 1; Seed <= Seeds; ++Seed) {
+      repeat_gain Gain;
+      std::mt19937_64 Random(Seed);
+      std::uniform_real_distribution<double> Draw(0, 1);
+      for (int I = 0; I < 100; ++I) {
+        const time_point Now = Start + milliseconds(I * 200);
+        const bool Faulty = I < 50;
+        if (!Gain.likely("page", Now))
+          continue;
+        ++(Faulty ? Repeated : RepeatedLater);
+        Gain.record("page", Faulty && Draw(Random) < Case.FailureRate, Now);
+      }
+    }
+    CHECK(Repeated >= Case.LeastShare * 50 * Seeds);
+    CHECK(Repeated <= Case.MostShare * 50 * Seeds);
+    // Within two seconds of the end they are tried again.
+    CHECK(RepeatedLater >= 40 * Seeds);
+  }
+}
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -88,6 +88,34 @@
          learn(P, "near", placement_outcome::Failed, 5, 12);
        },
        "far-1", "near"},
+      {"not a target whose daemon says that it has turned slow",
+       [](placement &P) {
+         learn(P, "near", placement_outcome::Answered, 100);
+         learn(P, "far-1", placement_outcome::Answered, 100);
+         learn(P, "far-2", placement_outcome::Answered, 150);
+         load_report Slow;
+         Slow.SlowPercent = 500;
+         P.onLoad("near", Slow, Start);
+       },
+       "far-1", "near"},
+      {"not a target that fails requests of other daemons",
+       [](placement &P) {
+         learn(P, "near", placement_outcome::Answered, 100);
+         learn(P, "far-1", placement_outcome::Answered, 100);
+         learn(P, "far-2", placement_outcome::Answered, 150);
+         load_report Failing;
+         Failing.FailurePercent = 40;
+         P.onLoad("near", Failing, Start);
+       },
+       "far-1", "near"},
+      {"what has not ended says nothing by itself",
+       [](placement &P) {
+         learn(P, "near", placement_outcome::Answered, 100);
+         learn(P, "near", placement_outcome::Unended, 1000, 50);
+         learn(P, "far-1", placement_outcome::Answered, 100);
+         learn(P, "far-2", placement_outcome::Answered, 100);
+       },
+       "near", "far-1"},
       {"a refusal says nothing of the health",
        [](placement &P) {
          learn(P, "near", placement_outcome::Answered, 100);
@@ -120,6 +148,21 @@
   CHECK(choices(Placement, From, Later)["near"] > 0);
 }
 
+TEST_CASE("a report of a slow target loses its meaning") {
+  placement Placement;
+  learn(Placement, "near", placement_outcome::Answered, 100);
+  learn(Placement, "far-1", placement_outcome::Answered, 100);
+  load_report Slow;
+  Slow.SlowPercent = 500;
+  Placement.onLoad("near", Slow, Start);
+  const std::vector<placement_candidate> From = {{"near", true, true, 12},
+                                                 {"far-1", false, true, 12}};
+  placement_query Later = query(250);
+  CHECK(choices(Placement, From, Later)["near"] == 0);
+  Later.Now = Start + std::chrono::seconds(10);
+  CHECK(choices(Placement, From, Later)["near"] > Draws / 2);
+}
+
 TEST_CASE("without a usable target the others are the last resort") {
   placement Placement;
   std::vector<placement_candidate> From = {{"near", true, false, 12}};
