--- a/hyssopledge/coordination/rollout_pilot.cpp
+++ b/hyssopledge/coordination/rollout_pilot.cpp
@@ -41,6 +41,9 @@
 // Run times are compared when both versions have this many runs.
 constexpr std::uint64_t RunsToCompare = 8;
 constexpr double SlowFactor = 2.5;
+// With this many runs of the new version, chance explains less.
+constexpr std::uint64_t RunsToTrust = 30;
+constexpr double SlowFactorTrusted = 2;
 constexpr double SlowFactorCold = 5; // just started upstreams are slower anyway
 // Run times are counted in whole milliseconds, so small ones tell nothing.
 constexpr double LeastSlowdownMs = 10;
@@ -67,9 +70,12 @@
       static_cast<double>(New.Failures) > Limit &&
       rate(New) > rate(Old) + LeastExcess)
     return "failures";
-  if (New.Runs - New.Failures >= RunsToCompare &&
-      Old.Runs - Old.Failures >= RunsToCompare &&
-      meanMs(New) > meanMs(Old) * (NewCold ? SlowFactorCold : SlowFactor) &&
+  const std::uint64_t NewGood = New.Runs - New.Failures;
+  const double Factor = NewCold                  ? SlowFactorCold
+                        : NewGood >= RunsToTrust ? SlowFactorTrusted
+                                                 : SlowFactor;
+  if (NewGood >= RunsToCompare && Old.Runs - Old.Failures >= RunsToCompare &&
+      meanMs(New) > meanMs(Old) * Factor &&
       meanMs(New) > meanMs(Old) + LeastSlowdownMs)
     return "slow";
   return {};
