--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <sys/socket.h>
 #include <thread>
 #include <vector>
 
@@ -182,11 +183,13 @@
   silent_address() {
     Listener.bind({asio::ip::make_address("127.0.0.1"), 0});
     Listener.listen(0);
-    // The queue of the listener takes one or two.
+    // The queue of the listener takes one; the others are in case that the
+    // first is still on its way there. They must not wait for an answer.
+    const auto Endpoint = Listener.local_endpoint();
     for (auto &Filler : Fillers) {
       Filler.non_blocking(true);
-      boost::system::error_code Ignored;
-      Filler.connect(Listener.local_endpoint(), Ignored);
+      ::connect(Filler.native_handle(), Endpoint.data(),
+                static_cast<socklen_t>(Endpoint.size()));
     }
   }
   std::string address() const {
