--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -9,10 +9,10 @@
 #include "support/http_fixture.h"
 
 #include <array>
-#include <cerrno>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <cerrno>
 #include <doctest/doctest.h>
 #include <future>
 #include <memory>
