Count runs that are ended before a response

The evidence of a rollout left out runs that were cut at their deadline, so the logs could not tell a fast version from one whose slow runs are all cut. Each daemon now counts such runs of at least the route's usual time, with the time they took, sends them after the other counts of a route (an older daemon ignores the two numbers) and rollout_decision prints them as "Ncut". The decision does not use them yet.

Tests: fleet_records_test, fleet_agent_test pass.

--- a/hyssopledge/coordination/fast_rollout_policy.h
+++ b/hyssopledge/coordination/fast_rollout_policy.h
@@ -19,6 +19,10 @@
   std::uint64_t Runs = 0;
   std::uint64_t Failures = 0; // 5xx or invalid responses
   std::uint64_t TotalMs = 0;  // run time of complete responses
+  /// Runs that took longer than usual and were ended by their deadline or their
+  /// caller before a response; not included in Runs.
+  std::uint64_t Unfinished = 0;
+  std::uint64_t UnfinishedMs = 0; // their time until then
 };
 using route_counts = std::map<std::string, run_counts>; // by route
 
--- a/hyssopledge/coordination/fleet_agent_rollouts.cpp
+++ b/hyssopledge/coordination/fleet_agent_rollouts.cpp
@@ -125,6 +125,8 @@
         Sum.Runs += Count.Runs;
         Sum.Failures += Count.Failures;
         Sum.TotalMs += Count.TotalMs;
+        Sum.Unfinished += Count.Unfinished;
+        Sum.UnfinishedMs += Count.UnfinishedMs;
       }
     }
     if (Followed.NewCountsStep != Record.Step) {
@@ -138,6 +140,8 @@
       Count.Runs -= std::min(Count.Runs, Before.Runs);
       Count.Failures -= std::min(Count.Failures, Before.Failures);
       Count.TotalMs -= std::min(Count.TotalMs, Before.TotalMs);
+      Count.Unfinished -= std::min(Count.Unfinished, Before.Unfinished);
+      Count.UnfinishedMs -= std::min(Count.UnfinishedMs, Before.UnfinishedMs);
     }
     const fast_rollout_input Input{
         std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -160,7 +164,7 @@
         for (const auto &[Route, Count] : Counts)
           Details << Route << ':' << Count.Runs << '/' << Count.Failures << '/'
                   << (Count.Runs == 0 ? 0 : Count.TotalMs / Count.Runs)
-                  << "ms,";
+                  << "ms/" << Count.Unfinished << "cut,";
       };
       Details << " new_slots=" << NewSlots << " old_slots=" << OldSlots;
       Print("new", New);
--- a/hyssopledge/coordination/peer_message.cpp
+++ b/hyssopledge/coordination/peer_message.cpp
@@ -100,7 +100,8 @@
   case peer_message_kind::Evidence: {
     json Counts = json::array();
     for (const auto &[Route, Count] : M.Counts)
-      Counts.push_back({Route, Count.Runs, Count.Failures, Count.TotalMs});
+      Counts.push_back({Route, Count.Runs, Count.Failures, Count.TotalMs,
+                        Count.Unfinished, Count.UnfinishedMs});
     J.push_back(M.Service);
     J.push_back(M.Version);
     J.push_back(M.OrderRevision);
@@ -155,10 +156,16 @@
       M.Service = J.at(3).get<std::string>();
       M.Version = J.at(4).get<std::string>();
       M.OrderRevision = J.at(5).get<std::uint64_t>();
-      for (const json &Row : J.at(6))
-        M.Counts[Row.at(0).get<std::string>()] = {
-            Row.at(1).get<std::uint64_t>(), Row.at(2).get<std::uint64_t>(),
-            Row.at(3).get<std::uint64_t>()};
+      for (const json &Row : J.at(6)) {
+        run_counts &Count = M.Counts[Row.at(0).get<std::string>()];
+        Count.Runs = Row.at(1).get<std::uint64_t>();
+        Count.Failures = Row.at(2).get<std::uint64_t>();
+        Count.TotalMs = Row.at(3).get<std::uint64_t>();
+        if (Row.size() > 5) { // not sent by earlier versions
+          Count.Unfinished = Row.at(4).get<std::uint64_t>();
+          Count.UnfinishedMs = Row.at(5).get<std::uint64_t>();
+        }
+      }
       break;
     case peer_message_kind::Crash:
       for (const json &Row : J.at(3))
--- a/hyssopledge/state/slot_queue.h
+++ b/hyssopledge/state/slot_queue.h
@@ -116,6 +116,11 @@
   /// Current run times as a multiple of the usual ones: at least SlowThreshold
   /// while the upstream counts as slow, otherwise 1.
   double slowdown(time_point Now) const;
+  /// Recent mean run time of the route, Default before its first run.
+  milliseconds meanRunTime(const std::string &Route,
+                           milliseconds Default) const {
+    return RunTimes.mean(Route, Default);
+  }
   /// Expected wait of a new request with the lowest priority.
   milliseconds expectedWait(time_point Now) const;
 
--- a/hyssopledge/transport/upstream_client.cpp
+++ b/hyssopledge/transport/upstream_client.cpp
@@ -66,6 +66,7 @@
 
   void send(const std::shared_ptr<exchange> &Self) {
     Started = boot_clock::now();
+    UsualRunTime = Client.Queue.meanRunTime(Call.Route, milliseconds(0));
     const auto TimeLeft =
         std::chrono::duration_cast<milliseconds>(Deadline - Started);
     removeConnectionFields(Request);
@@ -127,6 +128,9 @@
                           : "bad-answer";
       if (Result.Error == exchange_error::ConnectionClosed)
         Client.onConnectionClosed(Fingerprint);
+      if (Result.Error == exchange_error::Timeout ||
+          Result.Error == exchange_error::Cancelled)
+        countUnfinished(RunTime);
       if (Result.Error == exchange_error::InvalidResponse)
         Client.countRun(Route, true, RunTime);
       if (Result.Error == exchange_error::InvalidResponse ||
@@ -158,9 +162,11 @@
       return;
     } else {
       Answer.Outcome = hop_outcome::Ran;
-      // The deadline is the caller's, so a timeout is not counted against the
+      // The deadline is the caller's, so a timeout is not a failure of the
       // upstream.
-      if (Status != 504) {
+      if (Status == 504) {
+        countUnfinished(RunTime);
+      } else {
         Client.countRun(Call.Route, Status >= 500, RunTime);
         Client.Failures.record(Status >= 500, boot_clock::now());
       }
@@ -171,6 +177,12 @@
     Answer.Response = std::move(Response);
   }
 
+  /// A run that was ended before its usual time says nothing about its version.
+  void countUnfinished(milliseconds RunTime) {
+    if (RunTime > UsualRunTime)
+      Client.countUnfinishedRun(Call.Route, RunTime);
+  }
+
   void finish(hop_answer Answer) {
     const handler Callback = std::exchange(Handler, nullptr);
     Client.Exchanges.erase(Ticket);
@@ -183,6 +195,7 @@
   std::string Id;
   std::uint64_t Fingerprint = 0;
   state::time_point Started{};
+  milliseconds UsualRunTime{0}; // of the route, at the start
   std::shared_ptr<client_exchange> OutboundExchange;
 };
 
@@ -438,4 +451,13 @@
     Count.TotalMs += static_cast<std::uint64_t>(RunTime.count());
 }
 
+void upstream_client::countUnfinishedRun(const std::string &Route,
+                                         milliseconds RunTime) {
+  if (CountedOrderRevision == 0)
+    return;
+  coordination::run_counts &Count = Counts[Route];
+  ++Count.Unfinished;
+  Count.UnfinishedMs += static_cast<std::uint64_t>(RunTime.count());
+}
+
 } // namespace hyssopledge::transport
--- a/hyssopledge/transport/upstream_client.h
+++ b/hyssopledge/transport/upstream_client.h
@@ -93,6 +93,8 @@
   void setAcceptsConnections(bool AcceptsConnections);
   void countRun(const std::string &Route, bool Failed,
                 state::milliseconds RunTime);
+  void countUnfinishedRun(const std::string &Route,
+                          state::milliseconds RunTime);
 
   boost::asio::io_context &Context;
   const call_dialect &Dialect;
