--- a/hyssopledge/coordination/fleet_agent_rollouts.cpp
+++ b/hyssopledge/coordination/fleet_agent_rollouts.cpp
@@ -163,8 +163,8 @@
         Details << ' ' << Name << '=';
         for (const auto &[Route, Count] : Counts)
           Details << Route << ':' << Count.Runs << '/' << Count.Failures << '/'
-                  << (Count.Runs == 0 ? 0 : Count.TotalMs / Count.Runs)
-                  << "ms/" << Count.Unfinished << "cut,";
+                  << (Count.Runs == 0 ? 0 : Count.TotalMs / Count.Runs) << "ms/"
+                  << Count.Unfinished << "cut,";
       };
       Details << " new_slots=" << NewSlots << " old_slots=" << OldSlots;
       Print("new", New);
--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -8,6 +8,7 @@
 #include "hyssopledge/coordination/upstream_registry.h"
 
 #include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
 #include <functional>
 #include <random>
@@ -488,3 +489,110 @@
     CHECK(NewRuns.size() <= PerSecond * DurationMs / 1000 / 10 + 50);
   }
 }
+
+// Guards against rating a version by its finished runs alone: the slow runs of
+// a bad version end at the deadlines of their callers.
+TEST_CASE(
+    "a version whose slow runs are cut at their deadline is rolled back") {
+  struct cut_case {
+    const char *Name;
+    double SlowShare; // of the new version's runs
+    double SlowFactor;
+    double MinAllowedMs; // time until the deadline when a run starts
+    double MaxAllowedMs;
+    double MinAllowedAtFullShareMs;
+    rollout_state Expected;
+  };
+  const auto Bad = rollout_state::RolledBack;
+  const auto Good = rollout_state::Completed;
+  for (const cut_case &Case :
+       {cut_case{"half of the runs eight times as slow", 0.5, 8, 250, 500, 250,
+                 Bad},
+        cut_case{"all runs eight times as slow", 1, 8, 250, 500, 250, Bad},
+        cut_case{"slow beside overload", 0.5, 8, 100, 300, 100, Bad},
+        cut_case{"good", 0, 1, 250, 500, 250, Good},
+        cut_case{"good beside overload", 0, 1, 70, 300, 70, Good},
+        cut_case{"good, overload at the full share", 0, 1, 250, 500, 70,
+                 Good}}) {
+    CAPTURE(std::string(Case.Name));
+    constexpr int PerSecond = 300;
+    constexpr int DurationMs = 15'000;
+    constexpr int EvidenceDelayMs = 300;
+    struct run {
+      int EndMs;
+      double Ms;
+      bool Cut;
+    };
+    std::mt19937 Random(20);
+    std::lognormal_distribution<double> Work(3.9, 0.6); // mean 59 ms
+    std::uniform_real_distribution<double> Unit(0, 1);
+    std::array<std::vector<run>, 2> Runs; // of the old and the new version
+    std::uint32_t ShareBp = 0;
+    int LastStepMs = 0;
+    std::uint32_t StepBp = 0;
+    run_counts AtStep;
+    rollout_state State = rollout_state::Running;
+    double Credit = 0;
+    std::size_t Arrivals = 0;
+    for (int Ms = 0; Ms < DurationMs && State == rollout_state::Running; ++Ms) {
+      Credit += PerSecond / 1000.0;
+      for (; Credit >= 1; Credit -= 1) {
+        ++Arrivals;
+        const bool New = Unit(Random) * 10'000 < ShareBp;
+        const double MinAllowedMs = ShareBp == 10'000
+                                        ? Case.MinAllowedAtFullShareMs
+                                        : Case.MinAllowedMs;
+        const double AllowedMs =
+            MinAllowedMs + Unit(Random) * (Case.MaxAllowedMs - MinAllowedMs);
+        double NeededMs = Work(Random);
+        if (New && Unit(Random) < Case.SlowShare)
+          NeededMs *= Case.SlowFactor;
+        run Run{0, std::min(NeededMs, AllowedMs), NeededMs > AllowedMs};
+        Run.EndMs = Ms + static_cast<int>(Run.Ms);
+        Runs[New ? 1 : 0].push_back(Run);
+      }
+      if (Ms % 100 != 0)
+        continue;
+      std::array<route_counts, 2> Seen;
+      for (const bool New : {false, true}) {
+        run_counts &Count = Seen[New ? 1 : 0]["page"];
+        for (const run &Run : Runs[New ? 1 : 0]) {
+          if (Run.EndMs + EvidenceDelayMs > Ms)
+            continue;
+          const double UsualMs = Count.Runs == 0
+                                     ? 0
+                                     : static_cast<double>(Count.TotalMs) /
+                                           static_cast<double>(Count.Runs);
+          if (!Run.Cut) {
+            ++Count.Runs;
+            Count.TotalMs += static_cast<std::uint64_t>(Run.Ms);
+          } else if (Run.Ms > UsualMs) {
+            ++Count.Unfinished;
+            Count.UnfinishedMs += static_cast<std::uint64_t>(Run.Ms);
+          }
+        }
+      }
+      const run_counts &New = Seen[1]["page"];
+      if (ShareBp != StepBp) {
+        StepBp = ShareBp;
+        AtStep = New;
+      }
+      const route_counts InStep{
+          {"page",
+           {New.Runs - AtStep.Runs, New.Failures - AtStep.Failures,
+            New.TotalMs - AtStep.TotalMs, New.Unfinished - AtStep.Unfinished,
+            New.UnfinishedMs - AtStep.UnfinishedMs}}};
+      const fast_rollout_decision Decision =
+          decideShare({milliseconds(Ms), milliseconds(DurationMs),
+                       milliseconds(Ms - LastStepMs), ShareBp, 36, 36, false,
+                       Seen[1], InStep, Seen[0]});
+      if (Decision.ShareBp != ShareBp)
+        LastStepMs = Ms;
+      ShareBp = Decision.ShareBp;
+      State = Decision.State;
+    }
+    CHECK(State == Case.Expected);
+    if (Case.Expected == Bad)
+      CHECK(Runs[1].size() <= Arrivals / 10 + 50);
+  }
+}
