Rate a version by its unfinished runs as well

Callers saw a slow version completed and then had only that version left (EXPOSURE). Cause: survivorship. The time of a run counted only if it had ended before its caller's deadline, so the slowest runs of a slow version left no trace and the mean of the others stayed below the limit. Beside overload the deadlines are shorter when a run starts, and more of them are cut.

Change: the mean time of a version is the time of all its runs, cut ones included, by finished run. It decides only if the cut runs are also significantly more than the old version's, because a few of them weigh much. The check of finished runs alone stays. Also no underflow when the counts of a step hold more failures than runs.

--- a/hyssopledge/coordination/fast_rollout_policy.cpp
+++ b/hyssopledge/coordination/fast_rollout_policy.cpp
@@ -28,17 +28,18 @@
 
 //--- Test ---------------------------------------------------------------------
 // A version is bad if its failures exceed the number expected from the old
-// version's rate by FailureDeviations standard deviations, and its rate exceeds
-// the old one's by MinExcessRate.
-constexpr double FailureDeviations = 4;
+// version's rate by SignificantDeviations standard deviations, and its rate
+// exceeds the old one's by MinExcessRate.
+constexpr double SignificantDeviations = 4;
 constexpr double MinExcessRate = 0.04;
 // The share does not rise with this many failures and a failure rate above the
 // old version's by SuspectExcessRate.
 constexpr std::uint64_t SuspectFailures = 3;
 constexpr double SuspectExcessRate = 0.02;
-constexpr double ToleratedFailureRate = 0.01; // accepted for any version
+constexpr double ToleratedRate = 0.01; // accepted for any version
 constexpr std::uint64_t MinFailures = 4;
-// Run times are compared if both versions have this many successful runs.
+// Run times are compared if the old version has this many successful runs and
+// the new one this many successful or unfinished runs.
 constexpr std::uint64_t MinRunsToCompare = 8;
 constexpr double SlowFactor = 2.5;
 // From this many runs of the new version on, a smaller factor is significant.
@@ -48,40 +49,73 @@
 // Run times have a resolution of 1 ms, so small differences mean nothing.
 constexpr double MinSlowdownMs = 10;
 
-double rate(const run_counts &Count) {
-  return Count.Runs == 0 ? 0
-                         : static_cast<double>(Count.Failures) /
-                               static_cast<double>(Count.Runs);
+double ratio(std::uint64_t Part, std::uint64_t Whole) {
+  return Whole == 0 ? 0
+                    : static_cast<double>(Part) / static_cast<double>(Whole);
 }
 
+double failureRate(const run_counts &Count) {
+  return ratio(Count.Failures, Count.Runs);
+}
+
+std::uint64_t goodRuns(const run_counts &Count) {
+  return Count.Runs - std::min(Count.Failures, Count.Runs);
+}
+
+/// Runs whose time tells how fast the version is.
+std::uint64_t timedRuns(const run_counts &Count) {
+  return goodRuns(Count) + Count.Unfinished;
+}
+
+double cutRate(const run_counts &Count) {
+  return ratio(Count.Unfinished, timedRuns(Count));
+}
+
+double finishedMeanMs(const run_counts &Count) {
+  return ratio(Count.TotalMs, goodRuns(Count));
+}
+
+/// Estimates the mean time that a run needs. The time of unfinished runs counts
+/// as well: the mean of the finished ones leaves out the slowest.
 double meanMs(const run_counts &Count) {
-  const std::uint64_t Good = Count.Runs - std::min(Count.Failures, Count.Runs);
-  return Good == 0
-             ? 0
-             : static_cast<double>(Count.TotalMs) / static_cast<double>(Good);
+  return ratio(Count.TotalMs + Count.UnfinishedMs,
+               std::max<std::uint64_t>(goodRuns(Count), 1));
+}
+
+/// Whether Events among Runs are more than OldRate explains.
+bool isSignificant(std::uint64_t Events, std::uint64_t Runs, double OldRate) {
+  const double Expected = std::max(ToleratedRate, OldRate);
+  const auto Count = static_cast<double>(Runs);
+  const double Limit =
+      Count * Expected +
+      SignificantDeviations * std::sqrt(Count * Expected * (1 - Expected));
+  return Events >= MinFailures && static_cast<double>(Events) > Limit &&
+         ratio(Events, Runs) > OldRate + MinExcessRate;
+}
+
+bool isSlower(double NewMs, double OldMs, double Factor) {
+  return NewMs > OldMs * Factor && NewMs > OldMs + MinSlowdownMs;
+}
+
+bool isSlow(const run_counts &New, const run_counts &Old, bool NewCold) {
+  if (timedRuns(New) < MinRunsToCompare || goodRuns(Old) < MinRunsToCompare)
+    return false;
+  const double Factor = NewCold                            ? SlowFactorCold
+                        : timedRuns(New) >= MinRunsToTrust ? SlowFactorTrusted
+                                                           : SlowFactor;
+  if (goodRuns(New) >= MinRunsToCompare &&
+      isSlower(finishedMeanMs(New), finishedMeanMs(Old), Factor))
+    return true;
+  // A few unfinished runs weigh much in the mean and may be due to overload.
+  return isSlower(meanMs(New), meanMs(Old), Factor) &&
+         isSignificant(New.Unfinished, timedRuns(New), cutRate(Old));
 }
 
 std::string findFault(const run_counts &New, const run_counts &Old,
                       bool NewCold) {
-  const double Expected = std::max(ToleratedFailureRate, rate(Old));
-  const auto Runs = static_cast<double>(New.Runs);
-  const double Limit =
-      Runs * Expected +
-      FailureDeviations * std::sqrt(Runs * Expected * (1 - Expected));
-  if (New.Failures >= MinFailures &&
-      static_cast<double>(New.Failures) > Limit &&
-      rate(New) > rate(Old) + MinExcessRate)
+  if (isSignificant(New.Failures, New.Runs, failureRate(Old)))
     return "failures";
-  const std::uint64_t NewGood = New.Runs - New.Failures;
-  const double Factor = NewCold                     ? SlowFactorCold
-                        : NewGood >= MinRunsToTrust ? SlowFactorTrusted
-                                                    : SlowFactor;
-  if (NewGood >= MinRunsToCompare &&
-      Old.Runs - Old.Failures >= MinRunsToCompare &&
-      meanMs(New) > meanMs(Old) * Factor &&
-      meanMs(New) > meanMs(Old) + MinSlowdownMs)
-    return "slow";
-  return {};
+  return isSlow(New, Old, NewCold) ? "slow" : "";
 }
 
 run_counts total(const route_counts &Counts) {
@@ -96,7 +130,7 @@
 bool isSuspect(const route_counts &New, const route_counts &Old) {
   const run_counts NewTotal = total(New);
   return NewTotal.Failures >= SuspectFailures &&
-         rate(NewTotal) > rate(total(Old)) + SuspectExcessRate;
+         failureRate(NewTotal) > failureRate(total(Old)) + SuspectExcessRate;
 }
 
 } // namespace
