Keep the evidence of a rollout when daemons restart

Cause: each daemon sends its counts since the order, and the coordinator holds the last ones only. A daemon that restarts counts from 0, and at the full share the old version gets no runs any more, so after a restart beside the old upstreams there is nothing to compare with and run times are not checked.

Change: evidence carries the incarnation of its sender (last element of the datagram; older daemons ignore it and send none). All relays keep the counts of earlier incarnations of an order, so a new coordinator has them, too.

Measured: fleet_agent_test/evidence of a rollout outlives the daemons that counted it: 2 of 4 cases fail before (completed for rolled_back), all pass after.

--- a/hyssopledge/coordination/fleet_agent.cpp
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -413,9 +413,11 @@
   case peer_message_kind::Pong:
     return;
   case peer_message_kind::Evidence:
-    Evidence[Message.From] = {Message.Version, Message.OrderRevision,
-                              Message.Counts};
-    return;
+    return recordEvidence(Message.From, {Message.Version,
+                                         Message.OrderRevision,
+                                         Message.Incarnation,
+                                         Message.Counts,
+                                         {}});
   case peer_message_kind::Crash:
     if (Hooks.OnCrash)
       Hooks.OnCrash(Message.Sightings);
--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -160,10 +160,13 @@
     std::uint64_t NewCountsStep = 0;
     route_counts NewCountsAtStep; // of the new version when the step began
   };
+  /// Runs that one daemon has counted for an order.
   struct upstream_evidence {
     std::string Version;
     std::uint64_t OrderRevision = 0;
-    route_counts Counts;
+    std::uint64_t Incarnation = 0; // of the daemon
+    route_counts Counts;           // of this incarnation
+    route_counts FormerCounts;     // of earlier incarnations
   };
 
   //--- Membership -------------------------------------------------------------
@@ -215,6 +218,8 @@
   void writeStatus(followed_order &Followed, const rollout_record &Record,
                    state::time_point Now);
   void sendEvidence(state::time_point Now);
+  /// Sets the daemon's counts; those of its earlier incarnations are kept.
+  void recordEvidence(const std::string &Instance, upstream_evidence Latest);
   void log(std::string_view Event, const std::string &Fields) const;
 
   fleet_agent_options Options;
--- a/hyssopledge/coordination/fleet_agent_rollouts.cpp
+++ b/hyssopledge/coordination/fleet_agent_rollouts.cpp
@@ -11,6 +11,21 @@
 
 using state::time_point;
 
+namespace {
+
+void addCounts(route_counts &Sum, const route_counts &Added) {
+  for (const auto &[Route, Count] : Added) {
+    run_counts &RouteSum = Sum[Route];
+    RouteSum.Runs += Count.Runs;
+    RouteSum.Failures += Count.Failures;
+    RouteSum.TotalMs += Count.TotalMs;
+    RouteSum.Unfinished += Count.Unfinished;
+    RouteSum.UnfinishedMs += Count.UnfinishedMs;
+  }
+}
+
+} // namespace
+
 void fleet_agent::onOrder(const platform_entry &Entry) {
   auto Order = Dialect.parseOrder(Entry.Value);
   if (Order.has_error()) {
@@ -115,19 +130,17 @@
     route_counts New;
     route_counts Old;
     if (Hooks.RouteCounts && Self.Upstream.Service == Service)
-      Evidence[Options.Instance] = {Self.Upstream.Version, Record.OrderRevision,
-                                    Hooks.RouteCounts()};
+      recordEvidence(Options.Instance, {Self.Upstream.Version,
+                                        Record.OrderRevision,
+                                        Self.Incarnation,
+                                        Hooks.RouteCounts(),
+                                        {}});
     for (const auto &[Name, Row] : Evidence) {
       if (Row.OrderRevision != Record.OrderRevision)
         continue;
-      for (const auto &[Route, Count] : Row.Counts) {
-        run_counts &Sum = (Row.Version == Record.ToVersion ? New : Old)[Route];
-        Sum.Runs += Count.Runs;
-        Sum.Failures += Count.Failures;
-        Sum.TotalMs += Count.TotalMs;
-        Sum.Unfinished += Count.Unfinished;
-        Sum.UnfinishedMs += Count.UnfinishedMs;
-      }
+      route_counts &Sum = Row.Version == Record.ToVersion ? New : Old;
+      addCounts(Sum, Row.Counts);
+      addCounts(Sum, Row.FormerCounts);
     }
     if (Followed.NewCountsStep != Record.Step) {
       Followed.NewCountsStep = Record.Step;
@@ -136,7 +149,7 @@
     route_counts NewInStep = New;
     for (auto &[Route, Count] : NewInStep) {
       const run_counts &Before = Followed.NewCountsAtStep[Route];
-      // Counts decrease when the daemon beside an upstream restarts.
+      // A former coordinator may have known runs that this one does not.
       Count.Runs -= std::min(Count.Runs, Before.Runs);
       Count.Failures -= std::min(Count.Failures, Before.Failures);
       Count.TotalMs -= std::min(Count.TotalMs, Before.TotalMs);
@@ -252,6 +265,7 @@
   Message.Service = Self.Upstream.Service;
   Message.Version = Self.Upstream.Version;
   Message.OrderRevision = Rollout->OrderRevision;
+  Message.Incarnation = Self.Incarnation;
   Message.Counts = Hooks.RouteCounts();
   if (Message.Counts.empty())
     return;
@@ -263,4 +277,18 @@
   }
 }
 
+void fleet_agent::recordEvidence(const std::string &Instance,
+                                 upstream_evidence Latest) {
+  upstream_evidence &Known = Evidence[Instance];
+  if (Known.OrderRevision == Latest.OrderRevision &&
+      Known.Version == Latest.Version) {
+    if (Latest.Incarnation < Known.Incarnation)
+      return; // a late datagram
+    Latest.FormerCounts = std::move(Known.FormerCounts);
+    if (Latest.Incarnation > Known.Incarnation)
+      addCounts(Latest.FormerCounts, Known.Counts);
+  }
+  Known = std::move(Latest);
+}
+
 } // namespace hyssopledge::coordination
--- a/hyssopledge/coordination/peer_message.cpp
+++ b/hyssopledge/coordination/peer_message.cpp
@@ -106,6 +106,7 @@
     J.push_back(M.Version);
     J.push_back(M.OrderRevision);
     J.push_back(std::move(Counts));
+    J.push_back(M.Incarnation);
     break;
   }
   case peer_message_kind::Crash: {
@@ -156,6 +157,8 @@
       M.Service = J.at(3).get<std::string>();
       M.Version = J.at(4).get<std::string>();
       M.OrderRevision = J.at(5).get<std::uint64_t>();
+      if (J.size() > 7) // not sent by earlier versions
+        M.Incarnation = J.at(7).get<std::uint64_t>();
       for (const json &Row : J.at(6)) {
         run_counts &Count = M.Counts[Row.at(0).get<std::string>()];
         Count.Runs = Row.at(1).get<std::uint64_t>();
--- a/hyssopledge/coordination/peer_message.h
+++ b/hyssopledge/coordination/peer_message.h
@@ -44,7 +44,9 @@
   std::string Service;
   std::string Version;
   std::uint64_t OrderRevision = 0;
-  route_counts Counts; // since the order became known
+  std::uint64_t Incarnation = 0; // of the sender
+  /// Since the order became known to this incarnation of the sender.
+  route_counts Counts;
   //--- Crash ------------------------------------------------------------------
   std::vector<state::crash_sighting> Sightings;
 };
--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -532,6 +532,75 @@
   }
 }
 
+// A daemon that restarts counts from 0. At the full share the old version gets
+// no more runs, so its earlier ones are all there is to compare with.
+TEST_CASE("evidence of a rollout outlives the daemons that counted it") {
+  struct restart_case {
+    const char *Name;
+    std::vector<std::string> Restarted;
+    bool Slow; // the new version, after the restarts
+    const char *Expected;
+  };
+  const restart_case Cases[] = {
+      {"slow, daemons beside the old version restart",
+       {"a-2", "b-1"},
+       true,
+       "rolled_back"},
+      {"slow, daemons beside the new version restart",
+       {"a-3", "b-2"},
+       true,
+       "rolled_back"},
+      {"slow, all but the coordinator restart",
+       {"a-2", "a-3", "b-1", "b-2"},
+       true,
+       "rolled_back"},
+      {"good, all but the coordinator restart",
+       {"a-2", "a-3", "b-1", "b-2"},
+       false,
+       "completed"},
+  };
+  for (const restart_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    auto Fleet = sixDaemons();
+    for (const char *Old : {"a-2", "b-1"})
+      Fleet->serve(Old, "v1");
+    for (const char *New : {"a-3", "b-2"})
+      Fleet->serve(New, "v2");
+    Fleet->put("op/rollout/pages",
+               R"({"service":"pages","toVersion":"v2","durationS":16})");
+    constexpr int RestartStep = 90; // after the full share, before the end
+    for (int Step = 0; Step < 150; ++Step) {
+      if (Step == RestartStep)
+        for (const std::string &Name : Case.Restarted) {
+          const std::string Version =
+              Fleet->Nodes.at(Name)->Agent->self().Upstream.Version;
+          Fleet->remove(Name);
+          Fleet->add(Name, 2);
+          Fleet->serve(Name, Version);
+        }
+      Fleet->run(milliseconds(100));
+      const auto *Rollout =
+          Fleet->Nodes.at("a-1")->Agent->directory().rollout("pages");
+      const std::uint32_t ShareBp = coordination::trafficSplit(Rollout).ShareBp;
+      const auto AddRuns = [&](const char *Name, std::uint64_t Runs,
+                               std::uint64_t RunMs) {
+        auto &Count = Fleet->Nodes.at(Name)->Counts["r"];
+        Count.Runs += Runs;
+        Count.TotalMs += Runs * RunMs;
+      };
+      for (const char *Old : {"a-2", "b-1"})
+        AddRuns(Old, ShareBp == 10'000 ? 0 : 10, 100);
+      for (const char *New : {"a-3", "b-2"})
+        AddRuns(New, ShareBp * 20 / 10'000 + 1,
+                Case.Slow && Step > RestartStep ? 300 : 100);
+    }
+    const auto &Entries = Fleet->Platform.entries();
+    REQUIRE(Entries.contains("status/rollout/pages"));
+    CHECK(Entries.at("status/rollout/pages").Value.find(Case.Expected) !=
+          std::string::npos);
+  }
+}
+
 TEST_CASE("a finished rollout is known to daemons that start later") {
   auto Fleet = std::make_unique<fleet>();
   Fleet->put("op/config", documentText(1));
