--- a/apps/hyssop_mesh/mesh_daemon.cpp
+++ b/apps/hyssop_mesh/mesh_daemon.cpp
@@ -3,6 +3,7 @@
 #include "hyssopledge/transport/compression.h"
 #include "hyssopledge/transport/logging.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <csignal>
 #include <utility>
@@ -19,6 +20,10 @@
 namespace {
 
 constexpr milliseconds LogFlushInterval{100};
+// A delay of the event loop from this on is logged, at most once in the
+// interval below. Requests, responses and closed connections wait for as long.
+constexpr milliseconds LoopDelayToLog{250};
+constexpr milliseconds LoopDelayLogInterval{1000};
 constexpr milliseconds ShutdownCheckInterval{50};
 // A compressed document of 100 KB takes 0.1 s on a 10 Mbit/s link, and several
 // daemons fetch it at the same time.
@@ -214,8 +219,10 @@
       std::move(AgentOptions), std::move(AgentHooks), Adapter.OperatorDialect,
       Adapter.Store, Peers, Timers);
   Agent->start();
-  LogFlushTimer = Timers.every(
-      LogFlushInterval, [this](state::time_point) { onLogFlushTimer(); });
+  LastLogFlush = boot_clock::now();
+  LogFlushTimer = Timers.every(LogFlushInterval, [this](state::time_point Now) {
+    onLogFlushTimer(Now);
+  });
   awaitSignal();
   logEvent(log_level::Info, "started",
            {{"instance", Settings.Instance},
@@ -231,7 +238,20 @@
   transport::flushLog();
 }
 
-void mesh_daemon::onLogFlushTimer() { transport::flushLog(); }
+void mesh_daemon::onLogFlushTimer(state::time_point Now) {
+  const auto Delay = std::chrono::duration_cast<milliseconds>(
+      Now - LastLogFlush - LogFlushInterval);
+  LastLogFlush = Now;
+  MaxLoopDelay = std::max(MaxLoopDelay, Delay);
+  if (MaxLoopDelay >= LoopDelayToLog &&
+      Now - LastLoopDelayLog >= LoopDelayLogInterval) {
+    LastLoopDelayLog = Now;
+    logEvent(log_level::Warn, "loop_late",
+             {{"late_ms", std::exchange(MaxLoopDelay, {}).count()},
+              {"active", MeshPlane->active()}});
+  }
+  transport::flushLog();
+}
 
 //-----------------------------------------------------------------------------
 // Other daemons
--- a/apps/hyssop_mesh/mesh_daemon.h
+++ b/apps/hyssop_mesh/mesh_daemon.h
@@ -70,7 +70,7 @@
   void beginShutdown();
   void leaveFleet();
   void checkShutdown();
-  void onLogFlushTimer();
+  void onLogFlushTimer(state::time_point Now);
 
   boost::asio::io_context &Context;
   protocol::mesh_settings Settings;
@@ -91,6 +91,9 @@
   std::unique_ptr<state::timer_subscription> LogFlushTimer;
   std::unique_ptr<state::timer_subscription> ShutdownTimer;
   std::string CompressedDocument; // cache for peers; empty: not compressed yet
+  state::time_point LastLogFlush{};
+  state::time_point LastLoopDelayLog{};
+  state::milliseconds MaxLoopDelay{0}; // since it was last logged
   bool DirectoryUpdatePending = false;
   bool ShuttingDown = false;
   bool HasLeftFleet = false;
