Show the GONE incident in a test that fails

Callers that had left still had their requests run (GONE). The first hypothesis on a model of it: while the loop of a daemon is late, a caller sends a request and leaves, or leaves while its request waits for a slot that becomes free. When the loop goes on, the request is sent to the upstream in all three cases: the entry daemon is late, the target daemon is late, the target daemon is late and the response that frees the slot is read before the close.

--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -370,6 +370,91 @@
   CHECK(Closed.pop().value_or(false));
 }
 
+// A late event loop finds requests and the closes of their callers in its
+// sockets at the same time.
+TEST_CASE("a late daemon forwards no request whose caller has disconnected") {
+  struct late_case {
+    const char *Name;
+    bool EntryLate; // or else the target daemon
+    bool Queued;    // the request waits for the only slot of the upstream
+  };
+  for (const late_case &Case :
+       {late_case{"the entry daemon is late", true, false},
+        late_case{"the target daemon is late", false, false},
+        late_case{"the slot becomes free while the target daemon is late",
+                  false, true}}) {
+    CAPTURE(std::string(Case.Name));
+    blocking_queue<std::string> Seen;
+    one_shot_event SlotFree;
+    mesh Mesh({[&](upstream_connection &Connection) {
+      while (auto Request = Connection.read()) {
+        Seen.push(std::string(Request->target()));
+        if (Request->target() == "/look/slot")
+          REQUIRE(SlotFree.wait());
+        const std::string Id((*Request)["Attempt-Id"]);
+        Connection.respond("x", 200,
+                           SignatureField + ("Attempt-Id: " + Id + "\r\n"));
+      }
+    }});
+    mesh_node &Target = *Mesh.Targets[0];
+    const auto Request = [](const std::string &Name) {
+      http_request Made = shopRequest(http::verb::get, "/look/" + Name);
+      Made.set("Attempt-Id", Name);
+      return Made;
+    };
+    // Opens the connections, so that they can be read at once later.
+    blocking_caller Caller(Mesh.Entry.address());
+    CHECK(Caller.call(Request("first")).result_int() == 200);
+    CHECK(Seen.pop() == "/look/first");
+    blocking_caller SlotCaller(Mesh.Entry.address());
+    if (Case.Queued) {
+      auto Upstream = Target.record().Upstream;
+      Upstream.Slots = 1;
+      Target.run([&] { Target.UpstreamClient->setUpstream(Upstream); });
+      SlotCaller.send(Request("slot"));
+      CHECK(Seen.pop() == "/look/slot");
+      Caller.send(Request("gone"));
+      std::uint32_t Waiting = 0;
+      const auto End = std::chrono::steady_clock::now() + TestTimeout;
+      while (Waiting == 0 && std::chrono::steady_clock::now() < End)
+        Target.run([&] { Waiting = Target.UpstreamClient->load().Waiting; });
+      REQUIRE(Waiting == 1);
+    }
+    one_shot_event LoopFree;
+    asio::post((Case.EntryLate ? Mesh.Entry : Target).Context,
+               [&] { REQUIRE(LoopFree.wait()); });
+    if (Case.Queued) {
+      SlotFree.set();
+      std::this_thread::sleep_for(milliseconds(50)); // for the response
+    } else {
+      Caller.send(Request("gone"));
+    }
+    if (!Case.EntryLate && !Case.Queued) {
+      std::size_t Active = 0;
+      const auto End = std::chrono::steady_clock::now() + TestTimeout;
+      while (Active == 0 && std::chrono::steady_clock::now() < End)
+        Mesh.Entry.run([&] { Active = Mesh.Entry.Plane->active(); });
+      REQUIRE(Active == 1);
+    }
+    Caller.close();
+    if (!Case.EntryLate) {
+      std::size_t Active = 2;
+      const auto End = std::chrono::steady_clock::now() + TestTimeout;
+      const std::size_t Others = Case.Queued ? 1 : 0;
+      while (Active > Others && std::chrono::steady_clock::now() < End)
+        Mesh.Entry.run([&] { Active = Mesh.Entry.Plane->active(); });
+      REQUIRE(Active == Others);
+    }
+    // Longer than the time for which a daemon may rely on its last check.
+    std::this_thread::sleep_for(milliseconds(200));
+    LoopFree.set();
+    if (Case.Queued)
+      CHECK(SlotCaller.receive().result_int() == 200);
+    CHECK(Mesh.call(Request("last")).result_int() == 200);
+    CHECK(Seen.pop() == "/look/last");
+  }
+}
+
 TEST_CASE("a call without a response fails with 504 at the route's timeout") {
   mesh Mesh({[](upstream_connection &Connection) {
               if (Connection.read())
