Check for the caller's disconnect before a request is sent on

Requests of callers that had left were sent to upstreams and ran (GONE). Cause: a close was known only once the event loop had read it. A request and the close behind it may lie in a socket together, and a slot that becomes free started the next request of the queue though the close of its caller was ready in the same round; the later the loop, the older the close. Class: state of the outside world that is checked on arrival and used later.

Change: server_exchange::detectDisconnect() looks at the socket (one recv, one poll if there are unread bytes) and runs the disconnect handlers. It is asked right before a request leaves: by the entry daemon for each hop and by the upstream client when a slot is assigned, for hops and local calls. The same holds in hyssopd, at the first attempt and when the gate admits a request. A call that is cancelled between two attempts no longer reports the end of its former attempt twice to the placement.

--- a/hyssopledge/transport/entry_call.cpp
+++ b/hyssopledge/transport/entry_call.cpp
@@ -150,6 +150,10 @@
 
   //--- Attempts ---------------------------------------------------------------
   void attempt() {
+    // After an earlier attempt the request may have run.
+    if (Attempts == 0 && Caller->detectDisconnect())
+      return endNotRun(makeErrorResponse(503, OutcomeNotRun, "caller-gone",
+                                         "the caller has disconnected"));
     AttemptStarted = boot_clock::now();
     auto Picked = Core.Dependencies.Picker.pick(
         {*View, *Route, Call, History, Loop.Random(), AttemptStarted});
--- a/hyssopledge/transport/http_listener.cpp
+++ b/hyssopledge/transport/http_listener.cpp
@@ -7,8 +7,10 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
 #include <deque>
 #include <optional>
+#include <poll.h>
 #include <set>
 #include <sys/socket.h>
 #include <utility>
@@ -68,6 +70,9 @@
 
   /// Closes the connection and calls the disconnect handlers of its requests.
   void onDisconnected();
+  /// Whether the caller has closed or reset the connection.
+  bool isClosedByCaller();
+  bool isClosed() const { return Closed; }
 
 private:
   class exchange;
@@ -134,6 +139,16 @@
     Owner->onResponse();
   }
 
+  bool detectDisconnect() override {
+    const auto Owner = Session.lock();
+    if (!Owner || Owner->isClosed())
+      return true;
+    if (!Owner->isClosedByCaller())
+      return false;
+    Owner->onDisconnected();
+    return true;
+  }
+
   std::function<void()> takeDisconnectHandler() {
     return std::exchange(DisconnectHandler, nullptr);
   }
@@ -159,6 +174,19 @@
       Handler();
 }
 
+bool http_listener::session::isClosedByCaller() {
+  char Byte = 0;
+  const auto Peeked = ::recv(Socket.native_handle(), &Byte, sizeof Byte,
+                             MSG_PEEK | MSG_DONTWAIT);
+  if (Peeked < 0)
+    return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+  if (Peeked == 0)
+    return true;
+  // The close may be behind a further request.
+  pollfd Poll{Socket.native_handle(), POLLRDHUP, 0};
+  return ::poll(&Poll, 1, 0) > 0;
+}
+
 void http_listener::session::close() {
   if (Closed)
     return;
--- a/hyssopledge/transport/http_listener.h
+++ b/hyssopledge/transport/http_listener.h
@@ -42,6 +42,10 @@
   /// either side before the response is sent. A caller that shuts down only its
   /// sending side counts as disconnected.
   virtual void onDisconnect(std::function<void()> Handler) = 0;
+  /// Checks whether the caller has disconnected, also if the event loop has not
+  /// come to read it yet. If so, calls the disconnect handlers of the
+  /// connection's requests first. Costs a system call.
+  virtual bool detectDisconnect() = 0;
   /// Returns the index of the exchange's loop in the listener's list.
   virtual std::size_t loopIndex() const = 0;
 };
--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -147,6 +147,7 @@
       return;
     PeerExchange->cancel();
     PeerExchange = nullptr;
+    InAttempt = false;
     ++Epoch; // ignores the cancelled exchange's result
     removeFromPeer();
     Plane.Placement.onEnd(Target.Upstream, Route->Name,
@@ -235,9 +236,14 @@
   }
 
   void send(const target &To, state::time_point Now) {
+    const bool IsLocal = To.Instance == Plane.Options.Instance;
+    // The upstream client checks this before it sends to the local upstream.
+    if (!IsLocal && Caller->detectDisconnect())
+      return;
     ++Hops;
     Target = To;
     AttemptStarted = Now;
+    InAttempt = true;
     TriedUpstreams.push_back(To.Upstream);
     Plane.Placement.onSent(To.Upstream);
     hop_call Hop;
@@ -250,14 +256,15 @@
     Hop.MayMissSlo = MayMissSlo;
     Hop.IsRetry = Sends > 0;
     const std::uint64_t AttemptEpoch = ++Epoch;
-    if (To.Instance == Plane.Options.Instance) {
+    if (IsLocal) {
       // run() may call the handler before it returns.
       auto Exchange = Plane.UpstreamClient.run(
           std::move(Hop), Caller->request(),
           [Self = shared_from_this(), AttemptEpoch](hop_answer Answer) {
             if (AttemptEpoch == Self->Epoch)
               Self->onEnd(std::move(Answer));
-          });
+          },
+          [Caller = Caller] { return Caller->detectDisconnect(); });
       if (AttemptEpoch == Epoch && !Done)
         LocalExchange = std::move(Exchange);
       return;
@@ -315,6 +322,7 @@
   void onEnd(hop_answer Answer) {
     if (Done)
       return;
+    InAttempt = false;
     removeFromPeer();
     LocalExchange = nullptr;
     const state::time_point Now = boot_clock::now();
@@ -455,7 +463,7 @@
     Done = true;
     ++Epoch;
     removeFromPeer();
-    if (!Target.Upstream.empty())
+    if (InAttempt)
       Plane.Placement.onEnd(Target.Upstream, Route->Name,
                             state::placement_outcome::Unfinished,
                             toMilliseconds(boot_clock::now() - AttemptStarted),
@@ -530,6 +538,7 @@
   milliseconds RetryAfter{0};
   //--- Current attempt --------------------------------------------------------
   target Target;
+  bool InAttempt = false; // sent to Target, which has not answered
   state::time_point AttemptStarted{};
   std::uint64_t Epoch = 0; // of the current attempt; older handlers do nothing
   std::shared_ptr<client_exchange> PeerExchange;
@@ -686,7 +695,8 @@
         Metrics.recordCall(call_side::Target, outcomeText(Answer.Outcome),
                            Answer.Reason, boot_clock::now() - Started);
         Caller->respond(std::move(Answer.Response));
-      });
+      },
+      [Caller] { return Caller->detectDisconnect(); });
 }
 
 void mesh_plane::onPeerAlive(const std::string &Instance) {
--- a/hyssopledge/transport/target_call.cpp
+++ b/hyssopledge/transport/target_call.cpp
@@ -111,7 +111,7 @@
     case gate_decision::kind::Run:
       break;
     }
-    if (CallerDisconnected) {
+    if (CallerDisconnected || Caller->detectDisconnect()) {
       postToGate([](upstream_gate &Gate, state::ticket Ticket) {
         Gate.finishNotRun(Ticket);
       });
--- a/hyssopledge/transport/upstream_client.cpp
+++ b/hyssopledge/transport/upstream_client.cpp
@@ -40,9 +40,11 @@
 class upstream_client::exchange final : public upstream_exchange {
 public:
   exchange(upstream_client &Client, std::uint64_t Ticket, hop_call Call,
-           http_request Request, handler Handler)
+           http_request Request, handler Handler,
+           disconnect_check CallerDisconnected)
       : Client(Client), Ticket(Ticket), Call(std::move(Call)),
-        Request(std::move(Request)), Handler(std::move(Handler)) {
+        Request(std::move(Request)), Handler(std::move(Handler)),
+        CallerDisconnected(std::move(CallerDisconnected)) {
     const state::time_point Now = boot_clock::now();
     Deadline = Now + this->Call.TimeLeft;
     SloDeadline = Now + this->Call.SloTimeLeft;
@@ -89,6 +91,15 @@
         std::move(Options));
   }
 
+  /// Drops the request if its caller has disconnected.
+  bool dropIfDisconnected() {
+    if (!CallerDisconnected || !CallerDisconnected())
+      return false;
+    Handler = nullptr;
+    Client.Exchanges.erase(Ticket);
+    return true;
+  }
+
   std::uint64_t fingerprint() const { return Fingerprint; }
   bool sent() const { return OutboundExchange != nullptr; }
 
@@ -192,6 +203,7 @@
 
   http_request Request;
   handler Handler;
+  disconnect_check CallerDisconnected;
   std::string Id;
   std::uint64_t Fingerprint = 0;
   state::time_point Started{};
@@ -270,14 +282,16 @@
 }
 
 std::shared_ptr<upstream_exchange>
-upstream_client::run(hop_call Call, http_request Request, handler Handler) {
+upstream_client::run(hop_call Call, http_request Request, handler Handler,
+                     disconnect_check CallerDisconnected) {
   if (const char *Reason = refusalReason(Call)) {
     Handler(refusal(Reason));
     return nullptr;
   }
   const std::uint64_t Ticket = ++LastTicket;
   auto Exchange = std::make_shared<exchange>(
-      *this, Ticket, std::move(Call), std::move(Request), std::move(Handler));
+      *this, Ticket, std::move(Call), std::move(Request), std::move(Handler),
+      std::move(CallerDisconnected));
   const state::time_point Now = boot_clock::now();
   if (HasSightings && Poison.isPoison(Exchange->fingerprint(), Now)) {
     Exchange->refuse("poison");
@@ -321,6 +335,8 @@
     Exchange->refuse(Reason);
     return finishRun(Ticket, milliseconds(0));
   }
+  if (Exchange->dropIfDisconnected())
+    return finishRun(Ticket, milliseconds(0));
   Exchange->send(Exchange);
 }
 
--- a/hyssopledge/transport/upstream_client.h
+++ b/hyssopledge/transport/upstream_client.h
@@ -51,6 +51,8 @@
 class upstream_client {
 public:
   using handler = std::function<void(hop_answer)>;
+  /// Returns whether the caller of a request has disconnected.
+  using disconnect_check = std::function<bool()>;
 
   upstream_client(boost::asio::io_context &Context, const call_dialect &Dialect,
                   upstream_client_options Options, upstream_client_hooks Hooks);
@@ -62,8 +64,11 @@
   void refuseNewCalls() { RefusesNewCalls = true; }
   /// Runs, queues or refuses a request. The handler is called once, possibly
   /// before run() returns. Returns null when the request was refused at once.
-  std::shared_ptr<upstream_exchange> run(hop_call Call, http_request Request,
-                                         handler Handler);
+  /// A request whose caller has disconnected when it is due to be sent is
+  /// dropped without calling the handler.
+  std::shared_ptr<upstream_exchange>
+  run(hop_call Call, http_request Request, handler Handler,
+      disconnect_check CallerDisconnected = {});
   state::load_report load() const;
   /// Returns the share of running requests, 0 to 1, that an upstream had
   /// received before.
