Compare the run times of many small routes together

Change: the run times on all routes that both versions have served are compared with what the old version would have taken on the same routes, so that another mix of routes makes no difference.

Measured: fleet_records_test/the run times of many small routes are compared together: 1 of 5 cases failed before, all pass.

--- a/hyssopledge/coordination/fast_rollout_policy.cpp
+++ b/hyssopledge/coordination/fast_rollout_policy.cpp
@@ -118,6 +118,7 @@
   return isSlow(New, Old, NewCold) ? "slow" : "";
 }
 
+/// Runs and failures of all routes. Run times of different routes don't add up.
 run_counts total(const route_counts &Counts) {
   run_counts Total;
   for (const auto &[Route, Count] : Counts) {
@@ -127,6 +128,29 @@
   return Total;
 }
 
+/// Compares the run times of all routes that both versions have served: the new
+/// version's with those that the old one would have had on the same routes.
+bool isSlowInTotal(const route_counts &New, const route_counts &Old,
+                   bool NewCold) {
+  std::uint64_t Runs = 0;
+  double NewMs = 0;
+  double OldMs = 0;
+  for (const auto &[Route, Count] : New) {
+    const auto OldCount = Old.find(Route);
+    if (OldCount == Old.end() || goodRuns(OldCount->second) < MinRunsToCompare)
+      continue;
+    Runs += goodRuns(Count);
+    NewMs += static_cast<double>(Count.TotalMs);
+    OldMs +=
+        finishedMeanMs(OldCount->second) * static_cast<double>(goodRuns(Count));
+  }
+  if (Runs < MinRunsToTrust)
+    return false;
+  const auto Divisor = static_cast<double>(Runs);
+  return isSlower(NewMs / Divisor, OldMs / Divisor,
+                  NewCold ? SlowFactorCold : SlowFactorTrusted);
+}
+
 bool isSuspect(const route_counts &New, const route_counts &Old) {
   const run_counts NewTotal = total(New);
   return NewTotal.Failures >= SuspectFailures &&
@@ -145,9 +169,11 @@
     if (!Fault.empty())
       return Fault.append(" on route ").append(Route);
   }
-  // Detects failures that are spread over many routes.
-  std::string Fault = findFault(total(New), total(Old), NewCold);
-  return Fault.empty() ? Fault : Fault + " in total";
+  // Detects faults that are spread over many routes.
+  const run_counts NewTotal = total(New);
+  if (isSignificant(NewTotal.Failures, NewTotal.Runs, failureRate(total(Old))))
+    return "failures in total";
+  return isSlowInTotal(New, Old, NewCold) ? "slow in total" : "";
 }
 
 fast_rollout_decision decideShare(const fast_rollout_input &Input) {
--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -490,6 +490,40 @@
   }
 }
 
+// A service may have hundreds of routes with a few runs each.
+TEST_CASE("the run times of many small routes are compared together") {
+  struct routes_case {
+    const char *Name;
+    int Routes;
+    std::uint64_t NewRuns; // on each route
+    std::uint64_t NewMs;
+    std::uint64_t OldRuns;
+    std::uint64_t OldMs;
+    std::uint64_t OtherRuns; // of the old version on another, shorter route
+    bool Bad;
+  };
+  for (const routes_case &Case :
+       {routes_case{"three times as slow", 40, 3, 300, 20, 100, 0, true},
+        routes_case{"as fast", 40, 3, 110, 20, 100, 0, false},
+        routes_case{"as fast, on the longer routes", 40, 3, 300, 20, 300, 9000,
+                    false},
+        routes_case{"too few old runs to compare", 40, 3, 300, 2, 100, 0,
+                    false},
+        routes_case{"too few runs", 5, 3, 300, 20, 100, 0, false}}) {
+    CAPTURE(std::string(Case.Name));
+    route_counts New;
+    route_counts Old;
+    for (int Route = 0; Route < Case.Routes; ++Route) {
+      const std::string Name = "r" + std::to_string(Route);
+      New[Name] = {Case.NewRuns, 0, Case.NewRuns * Case.NewMs};
+      Old[Name] = {Case.OldRuns, 0, Case.OldRuns * Case.OldMs};
+    }
+    if (Case.OtherRuns > 0)
+      Old["other"] = {Case.OtherRuns, 0, Case.OtherRuns};
+    CHECK(versionFault(New, Old, false).empty() == !Case.Bad);
+  }
+}
+
 // Guards against rating a version by its finished runs alone: the slow runs of
 // a bad version end at the deadlines of their callers.
 TEST_CASE(
