Keep to the request limit that an upstream names

Change: all requests to an upstream pass the daemon beside it, so the limit holds there for all daemons together, whatever joins or leaves. The slot queue starts a request only within the rate (token bucket, state/rate_limiter); the expected wait of a request includes the rate, so what can't be served in time is refused on arrival, and the reported wait moves entry daemons to other upstreams. Requests that were accepted and fell behind on-time ones are refused as soon as the rate can't serve them any more, not at their deadline. The limit is part of the upstream's record, so a daemon that restarts gets it back from the others before its upstream names it again.

--- a/apps/hyssop_mesh/mesh_daemon.cpp
+++ b/apps/hyssop_mesh/mesh_daemon.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <cmath>
 #include <csignal>
 #include <utility>
 
@@ -51,6 +52,10 @@
 constexpr std::chrono::seconds ConnectionUnackedTimeout{2};
 // Round trips take a few milliseconds; a powered-off instance never answers.
 constexpr milliseconds PeerConnectTimeout{350};
+// A changed request limit of the upstream is sent to the other daemons at most
+// once in this interval, and if it changed by this fraction.
+constexpr milliseconds LimitPublishInterval{1000};
+constexpr double MinLimitChange = 0.1;
 constexpr milliseconds UpstreamConnectTimeout{300};
 
 std::uint64_t unixNowMs() {
@@ -121,6 +126,7 @@
         UpstreamClient->addSightings(Sightings);
         Agent->reportCrash(Sightings);
       };
+  UpstreamHooks.OnRequestLimitChanged = [this] { onRequestLimitChanged(); };
   UpstreamClient = std::make_unique<transport::upstream_client>(
       Context, Adapter.CallDialect, std::move(UpstreamOptions),
       std::move(UpstreamHooks));
@@ -203,7 +209,13 @@
         UpstreamClient->addSightings(Sightings);
       };
   AgentHooks.OnFormerUpstream = [this](const upstream_record &Former) {
-    if (Registry.restore(Former) == coordination::registry_update::Changed)
+    const bool Changed =
+        Registry.restore(Former) == coordination::registry_update::Changed;
+    const upstream_record &Current = Registry.record();
+    if (Current.Name == Former.Name &&
+        Current.StartUnixMs == Former.StartUnixMs)
+      UpstreamClient->restoreRequestLimit(Former.RequestLimit);
+    if (Changed)
       onUpstreamChanged("", true);
   };
   AgentHooks.OnPeerAlive = [this](const std::string &Instance) {
@@ -310,6 +322,9 @@
 void mesh_daemon::publishUpstream(bool AcceptsConnections) {
   upstream_record Record = Registry.record();
   Record.AcceptsConnections = AcceptsConnections;
+  const upstream_record &Former = UpstreamClient->upstream();
+  if (Former.Name == Record.Name && Former.StartUnixMs == Record.StartUnixMs)
+    Record.RequestLimit = Former.RequestLimit;
   UpstreamClient->setUpstream(Record);
   Agent->setUpstream(Record);
 }
@@ -328,6 +343,23 @@
   publishUpstream(AcceptsConnections);
 }
 
+/// Other daemons hold the limit for the case that this one restarts.
+void mesh_daemon::onRequestLimitChanged() {
+  const state::time_point Now = boot_clock::now();
+  const std::optional<double> Limit = UpstreamClient->requestLimit();
+  const std::optional<double> Known = Agent->self().Upstream.RequestLimit;
+  const bool IsUpdate = Limit && Known;
+  if (IsUpdate && (Now - LimitPublishedAt < LimitPublishInterval ||
+                   std::abs(*Limit - *Known) < MinLimitChange * *Known))
+    return;
+  LimitPublishedAt = Now;
+  logEvent(log_level::Info, "upstream_limit",
+           {{"upstream", Registry.record().Name},
+            {"per_second", Limit ? std::to_string(*Limit) : "none"},
+            {"former", Known ? std::to_string(*Known) : "none"}});
+  publishUpstream(UpstreamClient->upstream().AcceptsConnections);
+}
+
 void mesh_daemon::onInstanceCall(
     const std::shared_ptr<transport::server_exchange> &Call) {
   auto InstanceCall = Adapter.InstanceDialect.parseCall(Call->request());
--- a/apps/hyssop_mesh/mesh_daemon.h
+++ b/apps/hyssop_mesh/mesh_daemon.h
@@ -66,6 +66,7 @@
   void publishUpstream(bool AcceptsConnections);
   void onUpstreamChanged(const std::string &FormerName,
                          bool AcceptsConnections);
+  void onRequestLimitChanged();
   void awaitSignal();
   void beginShutdown();
   void leaveFleet();
@@ -91,6 +92,7 @@
   std::unique_ptr<state::timer_subscription> LogFlushTimer;
   std::unique_ptr<state::timer_subscription> ShutdownTimer;
   std::string CompressedDocument; // cache for peers; empty: not compressed yet
+  state::time_point LimitPublishedAt{};
   state::time_point LastLogFlush{};
   state::time_point LastLoopDelayLog{};
   state::milliseconds MaxLoopDelay{0}; // since it was last logged
--- a/hyssopledge/coordination/fleet_directory.h
+++ b/hyssopledge/coordination/fleet_directory.h
@@ -27,6 +27,8 @@
   bool Cold = false; // still slow after its start
   std::uint64_t StartUnixMs = 0;
   std::uint64_t Sequence = 0; // of the latest announcement
+  /// Requests per second that it accepts; none: no limit.
+  std::optional<double> RequestLimit;
 };
 
 struct member_record {
--- a/hyssopledge/coordination/peer_message.cpp
+++ b/hyssopledge/coordination/peer_message.cpp
@@ -13,10 +13,14 @@
 
 json toJson(const member_record &R) {
   const upstream_record &U = R.Upstream;
-  return json::array({R.Instance, R.Incarnation, R.Revision, R.DataCentre,
-                      R.HopAddress, R.ControlAddress, R.Left, U.Name, U.Service,
-                      U.Version, U.Slots, static_cast<int>(U.State),
-                      U.AcceptsConnections, U.Cold, U.StartUnixMs, U.Sequence});
+  json J =
+      json::array({R.Instance, R.Incarnation, R.Revision, R.DataCentre,
+                   R.HopAddress, R.ControlAddress, R.Left, U.Name, U.Service,
+                   U.Version, U.Slots, static_cast<int>(U.State),
+                   U.AcceptsConnections, U.Cold, U.StartUnixMs, U.Sequence});
+  if (U.RequestLimit)
+    J.push_back(*U.RequestLimit);
+  return J;
 }
 
 member_record memberFrom(const json &J) {
@@ -41,6 +45,8 @@
   U.Cold = J.at(13).get<bool>();
   U.StartUnixMs = J.at(14).get<std::uint64_t>();
   U.Sequence = J.at(15).get<std::uint64_t>();
+  if (J.size() > 16) // absent without a limit and from earlier versions
+    U.RequestLimit = J.at(16).get<double>();
   return R;
 }
 
--- a/hyssopledge/coordination/upstream_registry.cpp
+++ b/hyssopledge/coordination/upstream_registry.cpp
@@ -68,6 +68,8 @@
                        Record.Slots != A.Slots ||
                        Record.Cold != (A.ColdRemaining.count() > 0) ||
                        Record.Version != A.Version;
+  if (!SameUpstream)
+    Record.RequestLimit.reset();
   Record.Name = A.Name;
   Record.Service = A.Service;
   Record.Version = A.Version;
--- a/hyssopledge/coordination/upstream_registry.h
+++ b/hyssopledge/coordination/upstream_registry.h
@@ -50,7 +50,8 @@
   /// taken to have started before it.
   registry_update leave(const std::string &Name, std::uint64_t StartUnixMs,
                         std::uint64_t Now);
-  /// State after the last call; AcceptsConnections is not maintained here.
+  /// State after the last call. AcceptsConnections is not maintained here, and
+  /// RequestLimit is the one of restore().
   const upstream_record &record() const { return Record; }
 
 private:
--- a/hyssopledge/state/slot_queue.cpp
+++ b/hyssopledge/state/slot_queue.cpp
@@ -38,6 +38,8 @@
 // Run times vary, so the latest start before a deadline allows for this
 // multiple of the mean.
 constexpr double DeadlineRunTimeFactor = 1.3;
+// Interval at which queued requests are checked against the rate limit.
+constexpr milliseconds RateCheckInterval{100};
 // Requests are short up to this fraction of the longest mean run time.
 constexpr double ShortRunFraction = 0.35;
 // Minimum remaining time of a run, as a fraction of the mean, for runs that
@@ -152,22 +154,27 @@
 
 milliseconds slot_queue::waitFor(const slot_request &Request,
                                  time_point Now) const {
-  if (Running.size() < Slots)
-    return milliseconds(0);
   if (Slots == 0)
     return milliseconds::max();
+  std::size_t CountAhead = 0;
+  milliseconds Ahead{0};
+  for (const queued_request &Other : Waiting)
+    if (!precedes(Request, Other.Request, Now)) {
+      ++CountAhead;
+      Ahead += mean(Other.Request);
+    }
+  const milliseconds RateWait = RateLimiter.waitFor(CountAhead + 1, Now);
+  if (Running.size() < Slots)
+    return RateWait;
   // The first slot becomes free after a fraction of the mean remaining time;
   // the queued requests ahead are spread over all slots.
   milliseconds Remaining{0};
   for (const running_request &Run : Running)
     Remaining += std::max(Run.Mean - toMilliseconds(Now - Run.Started),
                           scaled(Run.Mean, MinRemainingFraction));
-  milliseconds Ahead{0};
-  for (const queued_request &Other : Waiting)
-    if (!precedes(Request, Other.Request, Now))
-      Ahead += mean(Other.Request);
   const auto Count = static_cast<std::int64_t>(Slots);
-  return Remaining * 2 / (Count * (Count + 1)) + Ahead / Count;
+  return std::max(RateWait,
+                  Remaining * 2 / (Count * (Count + 1)) + Ahead / Count);
 }
 
 milliseconds slot_queue::expectedWait(time_point Now) const {
@@ -190,7 +197,8 @@
     Decision.Reason = "deadline";
     return Decision;
   }
-  if (Running.size() < Slots) {
+  if (Running.size() < Slots && Waiting.empty() &&
+      RateLimiter.tryAcquire(Now)) {
     start(Request, Now);
     Decision.Action = slot_action::Run;
     return Decision;
@@ -211,7 +219,9 @@
   for (const queued_request &Other : Waiting)
     Ahead += mean(Other.Request);
   const double Free = std::max(MinFreeShare, 1 - onTimeLoad(Now));
-  const milliseconds Wait = scaled(Ahead / Slots, 1 / Free);
+  const milliseconds Wait =
+      std::max(scaled(Ahead / Slots, 1 / Free),
+               RateLimiter.waitFor(Waiting.size() + 1, Now));
   return Wait <= scaled(toMilliseconds(Request.Deadline - Now) - mean(Request),
                         MaxLateWaitFraction);
 }
@@ -220,14 +230,23 @@
   const double Elapsed =
       std::chrono::duration<double, std::milli>(Now - OnTimeUpdatedAt).count();
   const auto DecayMs = static_cast<double>(OnTimeDecayPeriod.count());
-  return OnTimeMs * std::exp(-Elapsed / DecayMs) / (DecayMs * Slots);
+  const double Decay = std::exp(-Elapsed / DecayMs);
+  const double SlotShare = OnTimeMs * Decay / (DecayMs * Slots);
+  const auto Rate = RateLimiter.rate();
+  const double RateShare =
+      Rate ? OnTimeStarts * Decay * 1000 / (DecayMs * *Rate) : 0;
+  return std::max(SlotShare, RateShare);
 }
 
 void slot_queue::start(const slot_request &Request, time_point Now) {
   if (isShort(Request) || onTime(Request, Now)) {
-    OnTimeMs = onTimeLoad(Now) *
-                   static_cast<double>(OnTimeDecayPeriod.count()) * Slots +
-               static_cast<double>(mean(Request).count());
+    const double Elapsed =
+        std::chrono::duration<double, std::milli>(Now - OnTimeUpdatedAt)
+            .count();
+    const double Decay =
+        std::exp(-Elapsed / static_cast<double>(OnTimeDecayPeriod.count()));
+    OnTimeMs = OnTimeMs * Decay + static_cast<double>(mean(Request).count());
+    OnTimeStarts = OnTimeStarts * Decay + 1;
     OnTimeUpdatedAt = Now;
   }
   Running.push_back({Request.Ticket, Request.Route, Now, mean(Request),
@@ -237,7 +256,8 @@
 
 void slot_queue::dispatchQueued(time_point Now,
                                 std::vector<queue_release> &Out) {
-  while (Running.size() < Slots && !Waiting.empty()) {
+  while (Running.size() < Slots && !Waiting.empty() &&
+         RateLimiter.tryAcquire(Now)) {
     auto First = Waiting.begin();
     for (auto It = First + 1; It != Waiting.end(); ++It)
       if (precedes(It->Request, First->Request, Now))
@@ -299,9 +319,33 @@
       Out.push_back({Request.Ticket, false, Reason});
     return Reason != nullptr;
   });
+  refuseBeyondRate(Now, Out);
   return Out;
 }
 
+void slot_queue::refuseBeyondRate(time_point Now,
+                                  std::vector<queue_release> &Out) {
+  if (!RateLimiter.rate() || Waiting.empty() ||
+      Now - RateCheckedAt < RateCheckInterval)
+    return;
+  RateCheckedAt = Now;
+  std::sort(Waiting.begin(), Waiting.end(),
+            [&](const queued_request &A, const queued_request &B) {
+              return precedes(A.Request, B.Request, Now);
+            });
+  std::size_t Ahead = 0;
+  std::erase_if(Waiting, [&](const queued_request &Entry) {
+    const slot_request &Request = Entry.Request;
+    const milliseconds Wait = RateLimiter.waitFor(Ahead + 1, Now);
+    const bool TooLate = Now + Wait + mean(Request) > Request.Deadline;
+    if (TooLate)
+      Out.push_back({Request.Ticket, false, "deadline"});
+    else
+      ++Ahead;
+    return TooLate;
+  });
+}
+
 bool slot_queue::cancel(std::uint64_t Ticket) {
   return std::erase_if(Waiting, [&](const queued_request &Entry) {
            return Entry.Request.Ticket == Ticket;
--- a/hyssopledge/state/slot_queue.h
+++ b/hyssopledge/state/slot_queue.h
@@ -20,11 +20,17 @@
 ///   is detected from runs that are still unfinished and reported to the entry
 ///   daemons. It does not shed load here: when all upstreams are slow, refusals
 ///   would only move requests between them.
+/// - An upstream in need that accepts a limited rate: a request starts only
+/// with
+///   a free slot and within the rate. The expected waits include it, so that
+///   what the rate can't serve in time is refused on arrival.
 #pragma once
 
 #include "hyssopledge/state/clock.h"
+#include "hyssopledge/state/rate_limiter.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -93,6 +99,11 @@
   static constexpr double SlowRecoveryThreshold = 1.5;
 
   void setSlots(std::uint32_t Slots) { this->Slots = Slots; }
+  /// Limits the requests started per second; none: no limit.
+  void setRateLimit(std::optional<double> PerSecond, time_point Now) {
+    RateLimiter.setRate(PerSecond, Now);
+  }
+  std::optional<double> rateLimit() const { return RateLimiter.rate(); }
   /// Runs, queues or refuses a new request.
   slot_decision admit(const slot_request &Request, time_point Now);
   /// Frees the slot of a request; RunTime is 0 if the upstream did not respond.
@@ -151,19 +162,24 @@
   /// Whether the expected wait of a request that misses its SLO is within
   /// MaxLateWaitFraction.
   bool canRunLate(const slot_request &Request, time_point Now) const;
-  /// Fraction of the slot time recently used by short and on-time requests.
+  /// Fraction of the slot time, or of the rate limit if that is more, recently
+  /// used by short and on-time requests.
   double onTimeLoad(time_point Now) const;
   double decayedExcessMs(time_point Now) const;
   /// Factor between recent and usual run times, regardless of the thresholds.
   double measuredSlowdown(time_point Now) const;
   void updateSlow(time_point Now);
+  /// Refuses the queued requests that the rate limit can't serve in time.
+  void refuseBeyondRate(time_point Now, std::vector<queue_release> &Out);
   void start(const slot_request &Request, time_point Now);
   void dispatchQueued(time_point Now, std::vector<queue_release> &Out);
 
   std::uint32_t Slots = 0;
+  rate_limiter RateLimiter;
   std::vector<running_request> Running;
   std::vector<queued_request> Waiting;
-  double OnTimeMs = 0; // slot time of short and on-time requests, decaying
+  double OnTimeMs = 0;     // slot time of short and on-time requests, decaying
+  double OnTimeStarts = 0; // their number, decaying
   time_point OnTimeUpdatedAt{};
   run_time_table RunTimes;   // current
   run_time_table UsualTimes; // while the upstream is not slow
@@ -172,6 +188,7 @@
   double RecentExcessMs = 0; // sum of their time beyond it; also decays in time
   time_point ExcessUpdatedAt{};
   bool Slow = false;
+  time_point RateCheckedAt{};
 };
 
 } // namespace hyssopledge::state
--- a/hyssopledge/transport/call_dialect.h
+++ b/hyssopledge/transport/call_dialect.h
@@ -30,6 +30,9 @@
   bool MatchesRequest = true;
   bool NotRun = false; // the upstream did not run the request
   bool Signed = false; // the response has a signature
+  /// Requests per second that the upstream accepts from all daemons together,
+  /// as long as its responses say so; none: no limit.
+  std::optional<double> RequestLimit;
 };
 
 class call_dialect {
--- a/hyssopledge/transport/upstream_client.cpp
+++ b/hyssopledge/transport/upstream_client.cpp
@@ -161,6 +161,10 @@
     const response_metadata Metadata =
         Client.Dialect.parseResponse(Response, Id);
     const unsigned Status = Response.result_int();
+    if (Status != 421) { // sent by another upstream at the address
+      Client.HasResponded = true;
+      Client.setRequestLimit(Metadata.RequestLimit);
+    }
     if (Metadata.NotRun || Status == 421) {
       Answer.Outcome = hop_outcome::NotRun;
       Answer.RejectedByUpstream = true;
@@ -225,13 +229,16 @@
   const bool WasServing = Upstream.State == upstream_state::Serving;
   const bool Replaced = Upstream.Name != Record.Name;
   Upstream = Record;
-  if (Replaced)
+  if (Replaced) {
+    HasResponded = false;
     Pool.closeIdleConnections(Options.Address);
+  }
   if (Record.State == upstream_state::Serving)
     DrainStartedAt = {};
   else if (WasServing || Replaced)
     DrainStartedAt = boot_clock::now();
   Queue.setSlots(Record.Slots);
+  Queue.setRateLimit(Record.RequestLimit, boot_clock::now());
   release(Queue.expire(boot_clock::now()));
 }
 
@@ -444,6 +451,15 @@
     Hooks.OnAcceptsConnectionsChanged(AcceptsConnections);
 }
 
+void upstream_client::setRequestLimit(std::optional<double> PerSecond) {
+  if (Upstream.RequestLimit == PerSecond)
+    return;
+  Upstream.RequestLimit = PerSecond;
+  Queue.setRateLimit(PerSecond, boot_clock::now());
+  if (Hooks.OnRequestLimitChanged)
+    Hooks.OnRequestLimitChanged();
+}
+
 //-----------------------------------------------------------------------------
 // Evidence
 //-----------------------------------------------------------------------------
--- a/hyssopledge/transport/upstream_client.h
+++ b/hyssopledge/transport/upstream_client.h
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -37,6 +38,8 @@
   /// Called after a crash, with a sighting for each request whose connection
   /// it closed.
   std::function<void(const std::vector<state::crash_sighting> &)> OnCrash;
+  /// Called when the upstream names another request limit or none any more.
+  std::function<void()> OnRequestLimitChanged;
 };
 
 /// One queued or running request.
@@ -58,6 +61,8 @@
                   upstream_client_options Options, upstream_client_hooks Hooks);
   ~upstream_client();
 
+  /// The request limit of the record applies until the upstream's next
+  /// response.
   void setUpstream(const coordination::upstream_record &Upstream);
   const coordination::upstream_record &upstream() const { return Upstream; }
   /// Refuses new requests; queued and running ones are completed.
@@ -74,6 +79,14 @@
   /// received before.
   double retryShare() const;
   std::size_t active() const { return Exchanges.size(); }
+  /// Sets the limit that other daemons know from before this daemon started.
+  /// Does nothing once the upstream has responded.
+  void restoreRequestLimit(std::optional<double> PerSecond) {
+    if (!HasResponded)
+      setRequestLimit(PerSecond);
+  }
+  /// Requests per second that the upstream accepts, as it last said.
+  std::optional<double> requestLimit() const { return Upstream.RequestLimit; }
 
   //--- Evidence for rollouts --------------------------------------------------
   /// Sets the revision of the rollout order for which runs are counted, 0 for
@@ -96,6 +109,7 @@
   void onConnectionClosed(std::uint64_t Fingerprint);
   void probe();
   void setAcceptsConnections(bool AcceptsConnections);
+  void setRequestLimit(std::optional<double> PerSecond);
   void countRun(const std::string &Route, bool Failed,
                 state::milliseconds RunTime);
   void countUnfinishedRun(const std::string &Route,
@@ -107,6 +121,7 @@
   upstream_client_hooks Hooks;
   http_client_pool Pool;
   coordination::upstream_record Upstream;
+  bool HasResponded = false; // the current upstream, to any request
   state::time_point DrainStartedAt{};
   bool RefusesNewCalls = false;
   state::slot_queue Queue;
--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -8,6 +8,7 @@
 
 #include "support/http_fixture.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -16,6 +17,7 @@
 #include <doctest/doctest.h>
 #include <future>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <sys/socket.h>
@@ -567,6 +569,101 @@
   }
 }
 
+// The limit is for all daemons together, and it outlasts a restart of the
+// daemon beside the upstream.
+TEST_CASE("an upstream gets no more requests than the limit that it names") {
+  struct limit_case {
+    const char *Name;
+    int Entries;   // entry daemons that send as fast as they can
+    bool Restored; // the target daemon has restarted and got the limit
+    const char *Limit;
+  };
+  for (const limit_case &Case :
+       {limit_case{"one entry daemon", 1, false, "20"},
+        limit_case{"three entry daemons", 3, false, "12.5"},
+        limit_case{"the target daemon has restarted", 3, true, "12.5"}}) {
+    CAPTURE(std::string(Case.Name));
+    using clock = std::chrono::steady_clock;
+    constexpr milliseconds Window{2000};
+    constexpr milliseconds Timeout{1000};
+    std::mutex Mutex;
+    std::vector<clock::time_point> Arrivals;
+    mesh Mesh({[&](upstream_connection &Connection) {
+                while (auto Request = Connection.read()) {
+                  {
+                    const std::lock_guard<std::mutex> Lock(Mutex);
+                    Arrivals.push_back(clock::now());
+                  }
+                  // A restored limit must hold before the upstream names it
+                  // again.
+                  if (Case.Restored)
+                    std::this_thread::sleep_for(Window);
+                  const std::string Id((*Request)["Attempt-Id"]);
+                  Connection.respond("x", 200,
+                                     SignatureField + ("Attempt-Id: " + Id) +
+                                         "\r\nServer-Limit: " + Case.Limit +
+                                         "\r\n");
+                }
+              }},
+              Timeout);
+    const double Limit = std::stod(Case.Limit);
+    if (Case.Restored) {
+      auto Upstream = Mesh.Targets[0]->record().Upstream;
+      Upstream.Slots = 1000;
+      Upstream.RequestLimit = Limit;
+      Mesh.Targets[0]->run(
+          [&] { Mesh.Targets[0]->UpstreamClient->setUpstream(Upstream); });
+    }
+    std::vector<std::unique_ptr<mesh_node>> Others;
+    for (int I = 1; I < Case.Entries; ++I) {
+      Others.push_back(std::make_unique<mesh_node>("entry-" + std::to_string(I),
+                                                   "127.0.0.1:9"));
+      Others.back()->run([&] {
+        Others.back()->Plane->setDocument(testTable(Timeout));
+        Others.back()->Plane->setDirectory(Mesh.Directory);
+      });
+    }
+    if (!Case.Restored)
+      CHECK(Mesh.call(shopRequest(http::verb::get, "/look/1")).result_int() ==
+            200);
+    const clock::time_point Begin = clock::now();
+    std::mutex RefusalMutex;
+    std::vector<milliseconds> Refusals; // time until the response
+    std::vector<std::thread> Callers;
+    std::vector<std::string> Addresses = {Mesh.Entry.address()};
+    for (const auto &Other : Others)
+      Addresses.push_back(Other->address());
+    for (const std::string &Address : Addresses)
+      for (int I = 0; I < 24 / Case.Entries; ++I)
+        Callers.emplace_back([&, Address] {
+          while (clock::now() < Begin + Window) {
+            const auto Sent = clock::now();
+            http_request Request = shopRequest(http::verb::get, "/look/2");
+            if (callOnce(Address, Request).result_int() == 503) {
+              const std::lock_guard<std::mutex> Lock(RefusalMutex);
+              Refusals.push_back(std::chrono::duration_cast<milliseconds>(
+                  clock::now() - Sent));
+            }
+            std::this_thread::sleep_for(milliseconds(5));
+          }
+        });
+    for (std::thread &Caller : Callers)
+      Caller.join();
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    const auto Count = std::count_if(
+        Arrivals.begin(), Arrivals.end(),
+        [&](clock::time_point At) { return At < Begin + Window; });
+    const double Seconds = std::chrono::duration<double>(Window).count();
+    CHECK(static_cast<double>(Count) <= 1.5 * Limit * Seconds + 5);
+    CHECK(static_cast<double>(Count) >= 0.5 * Limit * Seconds);
+    // The excess is refused at once and not held until its deadline.
+    REQUIRE(!Refusals.empty());
+    std::sort(Refusals.begin(), Refusals.end());
+    CHECK(Refusals[Refusals.size() * 9 / 10] < Timeout / 4);
+    CHECK(Refusals.back() < Timeout * 9 / 10);
+  }
+}
+
 TEST_CASE("malformed and smuggled requests are not forwarded") {
   struct input_case {
     const char *Name;
