Stop sending to an upstream that says in a response that it leaves

Cause: only announcements of a leave were read; they come through the daemon beside the upstream and may be late, lost or cut off.

Change: each entry daemon drops the upstream as soon as it reads such a response, until the upstream starts again later; the daemon beside it begins the drain as if it had been announced, so that the others get to know. A 421 at the address is another upstream's and says nothing. An upstream that restarts under its name counts as replaced in the upstream client, too.

Measured: mesh_plane_test/an upstream that says that it leaves gets no new requests: 3 of 6 cases fail without reading the field, all pass with it.

--- a/apps/hyssop_mesh/mesh_daemon.cpp
+++ b/apps/hyssop_mesh/mesh_daemon.cpp
@@ -126,6 +126,11 @@
         UpstreamClient->addSightings(Sightings);
         Agent->reportCrash(Sightings);
       };
+  UpstreamHooks.OnLeaving = [this] {
+    if (Registry.drain() == coordination::registry_update::Changed)
+      onUpstreamChanged(Registry.record().Name,
+                        UpstreamClient->upstream().AcceptsConnections);
+  };
   UpstreamHooks.OnRequestLimitChanged = [this] { onRequestLimitChanged(); };
   UpstreamClient = std::make_unique<transport::upstream_client>(
       Context, Adapter.CallDialect, std::move(UpstreamOptions),
--- a/hyssopledge/coordination/upstream_registry.cpp
+++ b/hyssopledge/coordination/upstream_registry.cpp
@@ -100,4 +100,11 @@
   return registry_update::Changed;
 }
 
+registry_update upstream_registry::drain() {
+  if (Record.State != upstream_state::Serving)
+    return registry_update::None;
+  Record.State = upstream_state::Draining;
+  return registry_update::Changed;
+}
+
 } // namespace hyssopledge::coordination
--- a/hyssopledge/coordination/upstream_registry.h
+++ b/hyssopledge/coordination/upstream_registry.h
@@ -50,6 +50,9 @@
   /// taken to have started before it.
   registry_update leave(const std::string &Name, std::uint64_t StartUnixMs,
                         std::uint64_t Now);
+  /// The current upstream leaves, which it said otherwise than by an
+  /// announcement. Final, like an announced drain.
+  registry_update drain();
   /// State after the last call. AcceptsConnections is not maintained here, and
   /// RequestLimit is the one of restore().
   const upstream_record &record() const { return Record; }
--- a/hyssopledge/transport/call_dialect.h
+++ b/hyssopledge/transport/call_dialect.h
@@ -33,6 +33,7 @@
   /// Requests per second that the upstream accepts from all daemons together,
   /// as long as its responses say so; none: no limit.
   std::optional<double> RequestLimit;
+  bool Leaving = false; // the upstream stops soon and takes no new requests
 };
 
 class call_dialect {
--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -332,6 +332,10 @@
     const bool Failed = Status >= 500 || Answer.Outcome == hop_outcome::Unknown;
     Plane.Placement.onEnd(Target.Upstream, Route->Name,
                           placementOutcome(Answer, Status), Latency, Now);
+    const bool FromUpstream = Status != 0 || Answer.RejectedByUpstream;
+    if (FromUpstream && Answer.Response.result_int() != 421 &&
+        Plane.Dialect.parseResponse(Answer.Response, Id).Leaving)
+      Plane.onUpstreamLeaving(Target);
     if (Answer.Load)
       Plane.Placement.onLoad(Target.Upstream, *Answer.Load, Now);
     if (Answer.Outcome != hop_outcome::NotRun || Answer.RejectedByUpstream)
@@ -612,17 +616,25 @@
 void mesh_plane::setDirectory(const coordination::fleet_directory &Directory) {
   Services.clear();
   std::vector<std::string> KnownUpstreams;
+  std::unordered_map<std::string, std::uint64_t> StillLeaving;
   for (const auto &[Name, Member] : Directory.members()) {
     const coordination::upstream_record &Upstream = Member.Upstream;
+    if (const auto Leaving = LeavingUpstreams.find(Upstream.Name);
+        Leaving != LeavingUpstreams.end() &&
+        Upstream.StartUnixMs <= Leaving->second) {
+      StillLeaving.insert(*Leaving);
+      continue;
+    }
     if (Member.Left || Upstream.Name.empty() ||
         Upstream.State != coordination::upstream_state::Serving ||
         !Upstream.AcceptsConnections)
       continue;
     Services[Upstream.Service].Targets.push_back(
         {Upstream.Name, Name, Member.HopAddress, Upstream.Version,
-         Member.DataCentre, Upstream.Slots});
+         Member.DataCentre, Upstream.Slots, Upstream.StartUnixMs});
     KnownUpstreams.push_back(Upstream.Name);
   }
+  LeavingUpstreams = std::move(StillLeaving);
   for (auto &[Service, Targets] : Services)
     Targets.VersionSplit =
         coordination::trafficSplit(Directory.rollout(Service));
@@ -635,6 +647,18 @@
   });
 }
 
+void mesh_plane::onUpstreamLeaving(const target &Leaving) {
+  if (!LeavingUpstreams.emplace(Leaving.Upstream, Leaving.StartUnixMs).second)
+    return;
+  logEvent(log_level::Info, "upstream_leaving",
+           {{"upstream", Leaving.Upstream}, {"peer", Leaving.Instance}});
+  for (auto &[Service, Known] : Services)
+    std::erase_if(Known.Targets, [&](const target &Target) {
+      return Target.Upstream == Leaving.Upstream &&
+             Target.StartUnixMs <= Leaving.StartUnixMs;
+    });
+}
+
 std::vector<state::placement_candidate>
 mesh_plane::candidates(const service_targets &Service, bool NewVersion,
                        bool OldVersion) const {
--- a/hyssopledge/transport/mesh_plane.h
+++ b/hyssopledge/transport/mesh_plane.h
@@ -92,6 +92,7 @@
     std::string Version;
     std::string DataCentre;
     std::uint32_t Slots = 0;
+    std::uint64_t StartUnixMs = 0; // of the upstream
   };
   struct service_targets {
     std::vector<target> Targets;
@@ -112,6 +113,9 @@
   void onCallerRequest(std::shared_ptr<server_exchange> Caller);
   void onHopRequest(const std::shared_ptr<server_exchange> &Caller);
   void checkPeers();
+  /// Stops sending to an upstream that said in a response that it leaves. The
+  /// announcement of its own daemon may come later or not at all.
+  void onUpstreamLeaving(const target &Leaving);
   std::vector<state::placement_candidate>
   candidates(const service_targets &Service, bool NewVersion,
              bool OldVersion) const;
@@ -141,6 +145,9 @@
   /// the timeout of a call is the time that its earlier attempts took.
   std::unordered_map<std::string, state::milliseconds> LongestCallerTimeout;
   std::map<std::string, peer> Peers;
+  /// Start times of the upstreams that said that they leave, by name. One that
+  /// restarts under its name has a later start time.
+  std::unordered_map<std::string, std::uint64_t> LeavingUpstreams;
   std::unordered_map<entry_call *, std::shared_ptr<entry_call>> Calls;
   boost::asio::steady_timer PeerTimer;
   state::time_point LastPeerCheck{};
--- a/hyssopledge/transport/upstream_client.cpp
+++ b/hyssopledge/transport/upstream_client.cpp
@@ -164,6 +164,8 @@
     if (Status != 421) { // sent by another upstream at the address
       Client.HasResponded = true;
       Client.setRequestLimit(Metadata.RequestLimit);
+      if (Metadata.Leaving)
+        Client.startDrain();
     }
     if (Metadata.NotRun || Status == 421) {
       Answer.Outcome = hop_outcome::NotRun;
@@ -227,7 +229,8 @@
 
 void upstream_client::setUpstream(const coordination::upstream_record &Record) {
   const bool WasServing = Upstream.State == upstream_state::Serving;
-  const bool Replaced = Upstream.Name != Record.Name;
+  const bool Replaced = Upstream.Name != Record.Name ||
+                        Upstream.StartUnixMs != Record.StartUnixMs;
   Upstream = Record;
   if (Replaced) {
     HasResponded = false;
@@ -460,6 +463,16 @@
     Hooks.OnRequestLimitChanged();
 }
 
+/// The upstream's own announcement of the drain may come later.
+void upstream_client::startDrain() {
+  if (Upstream.State != upstream_state::Serving)
+    return;
+  Upstream.State = upstream_state::Draining;
+  DrainStartedAt = boot_clock::now();
+  if (Hooks.OnLeaving)
+    Hooks.OnLeaving();
+}
+
 //-----------------------------------------------------------------------------
 // Evidence
 //-----------------------------------------------------------------------------
--- a/hyssopledge/transport/upstream_client.h
+++ b/hyssopledge/transport/upstream_client.h
@@ -38,6 +38,8 @@
   /// Called after a crash, with a sighting for each request whose connection
   /// it closed.
   std::function<void(const std::vector<state::crash_sighting> &)> OnCrash;
+  /// Called when the upstream says in a response that it leaves.
+  std::function<void()> OnLeaving;
   /// Called when the upstream names another request limit or none any more.
   std::function<void()> OnRequestLimitChanged;
 };
@@ -110,6 +112,7 @@
   void probe();
   void setAcceptsConnections(bool AcceptsConnections);
   void setRequestLimit(std::optional<double> PerSecond);
+  void startDrain();
   void countRun(const std::string &Route, bool Failed,
                 state::milliseconds RunTime);
   void countUnfinishedRun(const std::string &Route,
--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -569,6 +569,71 @@
   }
 }
 
+// The announcement of a drain may be late or lost; the responses tell as well.
+TEST_CASE("an upstream that says that it leaves gets no new requests") {
+  struct leaving_case {
+    const char *Name;
+    unsigned Status; // of the response that says so
+    const char *Fields;
+    bool Restarted; // the upstream starts again under its name
+    bool ByOther;   // the later requests come from another entry daemon
+    bool Used;      // by the later requests
+  };
+  const char *const Leaving = "Server-Leaving: 1\r\nResponse-Signature: s\r\n";
+  const leaving_case Cases[] = {
+      {"in a response", 200, Leaving, false, false, false},
+      {"in a refusal", 503, "Server-Leaving: 1\r\nNot-Executed: 1\r\n", false,
+       false, false},
+      {"to another entry daemon", 200, Leaving, false, true, false},
+      {"before its restart", 200, Leaving, true, false, true},
+      {"another upstream at its address", 421, "Server-Leaving: 1\r\n", false,
+       false, true},
+      {"not", 200, "Server-Leaving: 0\r\nResponse-Signature: s\r\n", false,
+       false, true},
+  };
+  for (const leaving_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    std::atomic<bool> Says{true};
+    std::atomic<int> Requests{0};
+    mesh Mesh({[&](upstream_connection &Connection) {
+      while (Connection.read()) {
+        ++Requests;
+        if (Says)
+          Connection.respond("x", Case.Status, Case.Fields);
+        else
+          Connection.respond("x", 200, SignatureField);
+      }
+    }});
+    mesh_node Other("other", "127.0.0.1:9");
+    Other.run([&] {
+      Other.Plane->setDocument(testTable(std::chrono::seconds(5)));
+      Other.Plane->setDirectory(Mesh.Directory);
+    });
+    Mesh.call(shopRequest(http::verb::get, "/look/1"));
+    REQUIRE(Requests > 0);
+    Says = false;
+    Requests = 0;
+    // An unrelated change of the directory must not bring it back.
+    auto Record = Mesh.Targets[0]->record();
+    if (Case.Restarted) {
+      Record.Upstream.StartUnixMs = 5;
+      Mesh.Targets[0]->run([&] {
+        Mesh.Targets[0]->UpstreamClient->setUpstream(Record.Upstream);
+      });
+    }
+    Mesh.Directory.merge(Record);
+    Mesh.Entry.run([&] { Mesh.Entry.Plane->setDirectory(Mesh.Directory); });
+    const std::string Address =
+        Case.ByOther ? Other.address() : Mesh.Entry.address();
+    for (int I = 0; I < 3; ++I) {
+      const auto Response =
+          callOnce(Address, shopRequest(http::verb::get, "/look/2"));
+      CHECK(Response.result_int() == (Case.Used ? 200 : 503));
+    }
+    CHECK(Requests == (Case.Used ? 3 : 0));
+  }
+}
+
 // The limit is for all daemons together, and it outlasts a restart of the
 // daemon beside the upstream.
 TEST_CASE("an upstream gets no more requests than the limit that it names") {
