--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -312,6 +312,18 @@
   CHECK(Received.find("member-3")->Upstream.State == upstream_state::Draining);
 }
 
+TEST_CASE("an upstream's request limit is encoded, and may be absent") {
+  for (const std::optional<double> Limit :
+       {std::optional<double>(), std::optional<double>(12.5),
+        std::optional<double>(0)}) {
+    member_record Record = member("a-1", 3, 4);
+    Record.Upstream.RequestLimit = Limit;
+    const auto Read = decodeMember(encodeMember(Record));
+    REQUIRE(Read.has_value());
+    CHECK(Read.value().Upstream.RequestLimit == Limit);
+  }
+}
+
 TEST_CASE("damaged datagrams fail to decode without a crash") {
   peer_message Message;
   Message.Kind = peer_message_kind::Evidence;
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -8,6 +8,7 @@
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 using namespace hyssopledge;
@@ -336,3 +337,36 @@
   Fields.setRefusalFields(Response, milliseconds(1234));
   CHECK(Response["Retry-After"] == "1.234");
 }
+
+TEST_CASE("the state that an upstream names in its responses is read") {
+  struct field_case {
+    const char *Name;
+    const char *Field;
+    const char *Value;
+    std::optional<double> Limit;
+    bool Leaving;
+  };
+  const field_case Cases[] = {
+      {"whole limit", "Server-Limit", "12", 12.0, false},
+      {"decimal limit", "Server-Limit", "12.25", 12.25, false},
+      {"no requests at all", "Server-Limit", "0", 0.0, false},
+      {"empty", "Server-Limit", "", std::nullopt, false},
+      {"word", "Server-Limit", "many", std::nullopt, false},
+      {"rest after the number", "Server-Limit", "12x", std::nullopt, false},
+      {"negative", "Server-Limit", "-3", std::nullopt, false},
+      {"not a number", "Server-Limit", "nan", std::nullopt, false},
+      {"infinite", "Server-Limit", "inf", std::nullopt, false},
+      {"out of range", "Server-Limit", "1e999", std::nullopt, false},
+      {"leaving", "Server-Leaving", "1", std::nullopt, true},
+      {"not leaving", "Server-Leaving", "0", std::nullopt, false},
+  };
+  const platform::call_fields Fields;
+  for (const field_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    transport::http_response Response;
+    Response.set(Case.Field, Case.Value);
+    const auto Metadata = Fields.parseResponse(Response, "abc");
+    CHECK(Metadata.RequestLimit == Case.Limit);
+    CHECK(Metadata.Leaving == Case.Leaving);
+  }
+}
