Refuse deeply nested records before they are decoded

Another writer's entry among the members, nested 200,000 levels deep, ended every daemon that read it, again after each start (SIGSEGV, found by the test). Cause: the MessagePack decoder recurses into nested values. A datagram is at most 64 KB and held, but with the same decoder.

Change: a check without recursion limits of our own data (8 levels; records in messages have 3) runs before the decoder. JSON of operators and upstreams is read by a parser that does not recurse: nested lists, objects, numbers out of range and ports out of range hold.

--- a/hyssopledge/coordination/peer_message.cpp
+++ b/hyssopledge/coordination/peer_message.cpp
@@ -75,6 +75,43 @@
   return Out;
 }
 
+/// Accepts MessagePack up to a nesting depth. The decoder recurses into nested
+/// values, so that deep ones from another writer would exhaust the stack.
+class nesting_check final : public json::json_sax_t {
+public:
+  bool start_object(std::size_t) override { return enter(); }
+  bool start_array(std::size_t) override { return enter(); }
+  bool end_object() override { return leave(); }
+  bool end_array() override { return leave(); }
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(std::int64_t) override { return true; }
+  bool number_unsigned(std::uint64_t) override { return true; }
+  bool number_float(double, const std::string &) override { return true; }
+  bool string(std::string &) override { return true; }
+  bool binary(json::binary_t &) override { return true; }
+  bool key(std::string &) override { return true; }
+  bool parse_error(std::size_t, const std::string &,
+                   const json::exception &) override {
+    return false;
+  }
+
+private:
+  static constexpr unsigned MaxDepth = 8; // records in messages have 3
+  bool enter() { return ++Depth <= MaxDepth; }
+  bool leave() { return Depth-- > 0; }
+  unsigned Depth = 0;
+};
+
+/// Returns a discarded value if the text is not MessagePack or nested too
+/// deeply.
+json unpack(std::string_view Text) {
+  nesting_check Check;
+  if (!json::sax_parse(Text, &Check, json::input_format_t::msgpack))
+    return json(json::value_t::discarded);
+  return json::from_msgpack(Text, true, false);
+}
+
 state::failure malformed(const std::string &What) {
   return {state::errc::InvalidMessage, "malformed peer message: " + What};
 }
@@ -132,7 +169,7 @@
 }
 
 state::result<peer_message> decodePeerMessage(std::string_view Datagram) {
-  const json J = json::from_msgpack(Datagram, true, false);
+  const json J = unpack(Datagram);
   if (J.is_discarded() || !J.is_array())
     return malformed("not a MessagePack array");
   try {
@@ -229,7 +266,7 @@
 }
 
 state::result<member_record> decodeMember(std::string_view Text) {
-  const json J = json::from_msgpack(Text, true, false);
+  const json J = unpack(Text);
   if (J.is_discarded())
     return malformed("not MessagePack");
   try {
--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -632,3 +632,66 @@
   CHECK(Fleet->Nodes.at("a-1")->Agent->directory().size() == Six.size());
   CHECK(Fleet->Nodes.at("a-1")->Agent->directory().rollouts().empty());
 }
+
+// Other writers may leave entries under the same prefixes.
+TEST_CASE("odd entries on the platform neither end nor stop a daemon") {
+  const auto Repeat = [](const std::string &Text, std::size_t Count) {
+    std::string Repeated;
+    for (std::size_t I = 0; I < Count; ++I)
+      Repeated += Text;
+    return Repeated;
+  };
+  constexpr std::size_t Depth = 200'000;
+  coordination::member_record Far;
+  Far.Instance = "x";
+  Far.Incarnation = 1;
+  Far.DataCentre = "a";
+  Far.HopAddress = Far.ControlAddress = "10.0.0.1:99999";
+  Far.Upstream.Name = "i-x";
+  Far.Upstream.Service = "pages";
+  Far.Upstream.State = upstream_state::Serving;
+  struct entry_case {
+    const char *Name;
+    const char *Key;
+    std::string Value;
+  };
+  const entry_case Cases[] = {
+      {"member, nested arrays", "hyssop/members/x", Repeat("\x91", Depth)},
+      {"member, nested maps", "hyssop/members/x",
+       Repeat("\x81\xa1\x61", Depth)},
+      {"member, port out of range", "hyssop/members/x",
+       coordination::encodeMember(Far)},
+      {"member, infinite number", "hyssop/members/x",
+       "\x92\xa1\x78\xcb\x7f\xf0" + std::string(6, '\0')},
+      {"document, nested lists", "op/other", Repeat("[", Depth)},
+      {"order, nested lists", "op/rollout/x", Repeat("[", Depth)},
+      {"order, nested objects", "op/rollout/x", Repeat(R"({"a":)", Depth)},
+      {"order, duration too large", "op/rollout/x",
+       R"({"service":"x","toVersion":"v2","durationS":1e999})"},
+      {"order, duration beyond all clocks", "op/rollout/x",
+       R"({"service":"x","toVersion":"v2","durationS":1e300})"},
+      {"status, nested lists", "status/rollout/x", Repeat("[", Depth)},
+  };
+  for (const entry_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    auto Fleet = std::make_unique<fleet>();
+    Fleet->put("op/config", documentText(1));
+    Fleet->put(Case.Key, Case.Value);
+    for (const std::string &Name : Six)
+      Fleet->add(Name);
+    Fleet->run(milliseconds(4000));
+    CHECK(allHave(*Fleet, 1));
+    for (const char *Old : {"a-2", "b-1"})
+      Fleet->serve(Old, "v1");
+    Fleet->put("op/config", documentText(2));
+    Fleet->put("op/rollout/pages",
+               R"({"service":"pages","toVersion":"v2","durationS":16})");
+    // Written once more while the daemons watch.
+    Fleet->put(Case.Key, Case.Value);
+    Fleet->put("op/config", documentText(3));
+    Fleet->run(milliseconds(3000));
+    CHECK(allHave(*Fleet, 3));
+    CHECK(Fleet->Nodes.at("b-2")->Agent->directory().rollout("pages") !=
+          nullptr);
+  }
+}
--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -345,6 +345,17 @@
   CHECK(decodePeerMessage("\x93\x63\xa1\x61\xa1\x62").has_error());
 }
 
+TEST_CASE("deeply nested datagrams fail to decode without a crash") {
+  constexpr std::size_t MaxUdpBytes = 65'507;
+  for (const char *Unit : {"\x91", "\x81\xa1\x61", "\xdc\xff\xff"}) {
+    std::string Nested;
+    while (Nested.size() + 3 <= MaxUdpBytes)
+      Nested += Unit;
+    CHECK(decodePeerMessage(Nested).has_error());
+    CHECK(decodeMember(Nested).has_error());
+  }
+}
+
 //-----------------------------------------------------------------------------
 // Rollouts
 //-----------------------------------------------------------------------------
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -302,6 +302,18 @@
   }
   for (const char *Body : {"", "\xff\xfe", "null", "[]", "{"})
     CHECK(Codec.parseCall(request("POST", HeartbeatPath, Body)).has_error());
+  for (const char *Unit : {"[", R"({"a":)"}) {
+    std::string Nested;
+    for (int Depth = 0; Depth < 200'000; ++Depth)
+      Nested += Unit;
+    CHECK(Codec.parseCall(request("POST", HeartbeatPath, Nested)).has_error());
+  }
+  // Valid JSON that is nested deeply, in a field that is not read.
+  std::string Nested = validHeartbeat().dump();
+  Nested.pop_back();
+  Nested +=
+      R"(,"x":)" + std::string(200'000, '[') + std::string(200'000, ']') + "}";
+  (void)Codec.parseCall(request("POST", HeartbeatPath, Nested));
 }
 
 TEST_CASE("header fields of callers and upstreams are read and written") {
