Bound everything that a faulty upstream can send

An upstream may send bytes without end until the caller closes. Found by the test: a response that announces a body of 999,999,999,999 bytes ended the daemon (bad_alloc: the parser's reader reserves the announced length); an endless line between chunks or an endless trailer was buffered whole, 1.5 and 1.7 GB in the 4 s until the deadline; interim responses and responses to other requests were read until the deadline. Heads, header fields, bodies and chunks were bounded already.

Change: parsers reserve 64 KB at most; a connection buffers the largest header and 64 KB; at most 16 responses are skipped before the one to the request; the bodies of all responses that a pool reads are at most 32 MB together.

Requests with such a length were refused with 413 before, too; a case says so.

--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -25,7 +25,8 @@
 using state::boot_clock;
 
 struct http_client_pool::connection {
-  explicit connection(asio::io_context &Context) : Socket(Context) {}
+  explicit connection(asio::io_context &Context)
+      : Socket(Context), Buffer(MaxUnparsedBytes) {}
 
   /// Returns false when the peer has closed the connection or has sent bytes
   /// that belong to no request.
@@ -36,6 +37,8 @@
            (errno == EAGAIN || errno == EWOULDBLOCK);
   }
 
+  // Bounds a header, and a line between chunks, which the parser does not.
+  static constexpr std::size_t MaxUnparsedBytes = MaxHeaderBytes + 64 * 1024;
   tcp::socket Socket;
   beast::flat_buffer Buffer;
   state::time_point IdleSince{};
@@ -50,6 +53,9 @@
 // Requests with at most this body are written completely before the response is
 // read.
 constexpr std::size_t SmallBodyBytes = 32 * 1024;
+// Interim responses, and responses to other requests, that are skipped before
+// the response to a request.
+constexpr unsigned MaxSkippedResponses = 16;
 
 /// Returns the idle timeout of the server from its Keep-Alive field, none when
 /// the field has no valid timeout.
@@ -158,6 +164,7 @@
   client_pool_options Options;
   asio::steady_timer ExpiryTimer;
   bool ExpiryTimerArmed = false;
+  std::size_t BodyBytes = 0; // of the responses that are being read
   std::unordered_map<std::string, std::deque<std::unique_ptr<connection>>> Idle;
 };
 
@@ -262,14 +269,36 @@
     Parser->body_limit(Core->Options.MaxBodyBytes);
     Parser->header_limit(MaxHeaderBytes);
     Parser->skip(Request.method() == http::verb::head);
-    http::async_read(
+    readSome();
+  }
+
+  void readSome() {
+    http::async_read_some(
         Connection->Socket, Connection->Buffer, *Parser,
         [Self = shared_from_this()](const error_code &Error, std::size_t) {
-          if (!Self->Done)
-            Self->onRead(Error);
+          if (Self->Done)
+            return;
+          if (Error || Self->Parser->is_done())
+            return Self->onRead(Error);
+          if (!Self->countBody())
+            return Self->finish(
+                exchange_error::InvalidResponse,
+                "answer of " + Self->Address +
+                    ": the responses in progress are over " +
+                    std::to_string(Self->Core->Options.MaxTotalBodyBytes) +
+                    " bytes");
+          Self->readSome();
         });
   }
 
+  /// Returns whether the responses in progress are within their total limit.
+  bool countBody() {
+    const std::size_t Size = Parser->get().body().size();
+    Core->BodyBytes += Size - CountedBytes;
+    CountedBytes = Size;
+    return Core->BodyBytes <= Core->Options.MaxTotalBodyBytes;
+  }
+
   void onRead(const error_code &Error) {
     if (Error) {
       const bool Closed =
@@ -281,10 +310,20 @@
                     "answer of " + Address + ": " + Error.message());
     }
     const unsigned Status = Parser->get().result_int();
-    if (Status >= 100 && Status < 200 && Status != 101)
-      return read(); // an interim response
-    if (Options.AcceptResponse && !Options.AcceptResponse(Parser->get()))
+    const bool Interim = Status >= 100 && Status < 200 && Status != 101;
+    auto Parsed = Parser->release();
+    exchange_result Result;
+    Result.Outcome = exchange_outcome::Complete;
+    Result.Response =
+        http_response(std::move(Parsed.base()), std::move(Parsed.body()));
+    if (Interim ||
+        (Options.AcceptResponse && !Options.AcceptResponse(Result.Response))) {
+      if (++SkippedResponses > MaxSkippedResponses)
+        return finish(exchange_error::InvalidResponse,
+                      "answer of " + Address +
+                          ": too many responses to other requests");
       return read();
+    }
     // A close-delimited response can't be told reliably from one that was
     // truncated.
     if (Parser->need_eof() && !Core->Options.AllowCloseDelimitedResponse &&
@@ -296,9 +335,6 @@
     const bool Reusable = Parser->keep_alive() && WriteFinished &&
                           !WriteFailed && !Parser->need_eof() &&
                           Connection->Buffer.size() == 0 && Status != 101;
-    exchange_result Result;
-    Result.Outcome = exchange_outcome::Complete;
-    Result.Response = Parser->release();
     if (Reusable)
       Core->store(Address, std::move(Connection),
                   keepAliveTimeout(Result.Response));
@@ -325,6 +361,7 @@
 
   void complete(exchange_result Result) {
     Done = true;
+    Core->BodyBytes -= std::exchange(CountedBytes, 0);
     close();
     const handler Callback = std::exchange(Handler, nullptr);
     Callback(std::move(Result));
@@ -346,7 +383,9 @@
   send_options Options;
   asio::steady_timer Timer;
   std::unique_ptr<connection> Connection;
-  std::optional<http::response_parser<http::string_body>> Parser;
+  std::optional<http::response_parser<bounded_string_body>> Parser;
+  std::size_t CountedBytes = 0; // of this response, in Core->BodyBytes
+  unsigned SkippedResponses = 0;
   bool MayBeWritten = false;
   bool WriteFinished = false;
   bool WriteFailed = false;
--- a/hyssopledge/transport/http_client_pool.h
+++ b/hyssopledge/transport/http_client_pool.h
@@ -30,6 +30,9 @@
   std::chrono::seconds IdleTimeout{20};
   state::milliseconds ConnectTimeout{1000};
   std::size_t MaxBodyBytes = transport::MaxBodyBytes; // of a response
+  /// Of all responses that are being read. A response that would exceed it is
+  /// invalid.
+  std::size_t MaxTotalBodyBytes = 32 * 1024 * 1024;
   /// Accept responses without a length, which end when the server closes the
   /// connection.
   bool AllowCloseDelimitedResponse = false;
--- a/hyssopledge/transport/http_listener.cpp
+++ b/hyssopledge/transport/http_listener.cpp
@@ -111,7 +111,7 @@
   /// The connection is closed at this time if no response is pending.
   state::time_point InputDeadline{};
   beast::flat_buffer Buffer;
-  std::optional<http::request_parser<http::string_body>> Parser;
+  std::optional<http::request_parser<bounded_string_body>> Parser;
   std::optional<http::response_serializer<http::string_body>> HeadSerializer;
   std::deque<std::shared_ptr<exchange>> Pending; // in order of arrival
 };
@@ -316,8 +316,11 @@
 
 void http_listener::session::onRequest() {
   const bool KeepAlive = Parser->keep_alive();
+  auto Parsed = Parser->release();
   auto Exchange = std::make_shared<exchange>(
-      shared_from_this(), Parser->release(), KeepAlive, LoopIndex);
+      shared_from_this(),
+      http_request(std::move(Parsed.base()), std::move(Parsed.body())),
+      KeepAlive, LoopIndex);
   Parser.reset();
   Pending.push_back(Exchange);
   ++Core->Active;
--- a/hyssopledge/transport/http_message.h
+++ b/hyssopledge/transport/http_message.h
@@ -5,9 +5,12 @@
 
 #include "hyssopledge/state/result.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <boost/optional.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -25,6 +28,36 @@
 constexpr std::size_t MaxBodyBytes = 8 * 1024 * 1024;
 constexpr std::uint32_t MaxHeaderBytes = 16 * 1024;
 
+/// A string body for parsers. The reader of string_body reserves the announced
+/// length before any limit is checked, and throws if there is no memory for it.
+struct bounded_string_body : boost::beast::http::string_body {
+  class reader {
+  public:
+    template <bool IsRequest, class Fields>
+    reader(boost::beast::http::header<IsRequest, Fields> &, std::string &Body)
+        : Body(Body) {}
+    void init(const boost::optional<std::uint64_t> &Length,
+              boost::system::error_code &Error) {
+      constexpr std::uint64_t MaxReservedBytes = 64 * 1024;
+      if (Length)
+        Body.reserve(std::min(*Length, MaxReservedBytes));
+      Error = {};
+    }
+    template <class Buffers>
+    std::size_t put(const Buffers &Added, boost::system::error_code &Error) {
+      const std::size_t Size = Body.size();
+      for (const auto Part : boost::beast::buffers_range_ref(Added))
+        Body.append(static_cast<const char *>(Part.data()), Part.size());
+      Error = {};
+      return Body.size() - Size;
+    }
+    void finish(boost::system::error_code &Error) { Error = {}; }
+
+  private:
+    std::string &Body;
+  };
+};
+
 /// Values of the field x-hyssop-outcome.
 constexpr char OutcomeRan[] = "ran";
 constexpr char OutcomeNotRun[] = "not-run";
--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -334,6 +334,60 @@
   CHECK(Requests == 3);
 }
 
+// The read must end by itself: the upstream goes on until the daemon closes.
+TEST_CASE("bytes without end from an upstream are cut at a limit") {
+  const std::string Chunk(64 * 1024, 'x');
+  struct endless_case {
+    const char *Name;
+    std::string Begin;
+    std::string Repeated;
+  };
+  const std::string Other = "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n"
+                            "Content-Length: 0\r\n\r\n";
+  const endless_case Cases[] = {
+      {"no HTTP", "", Chunk},
+      {"header field", "HTTP/1.1 200 OK\r\nA: ", Chunk},
+      {"header fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+      {"body up to the close",
+       "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n\r\n", Chunk},
+      {"body of a great length",
+       "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", Chunk},
+      {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "10000\r\n" + Chunk + "\r\n"},
+      {"chunk extension",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", Chunk},
+      {"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+       "A: b\r\n"},
+      {"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"responses to other requests", "", Other},
+  };
+  for (const endless_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    blocking_queue<std::size_t> SentBytes;
+    mesh Mesh({[&](upstream_connection &Connection) {
+      if (!Connection.read())
+        return;
+      std::string Repeated;
+      while (Repeated.size() < Chunk.size())
+        Repeated += Case.Repeated;
+      std::size_t Sent = 0;
+      Connection.send(Case.Begin);
+      while (Connection.trySend(Repeated))
+        Sent += Repeated.size();
+      SentBytes.push(Sent);
+    }});
+    const auto Started = std::chrono::steady_clock::now();
+    const auto Response =
+        Mesh.call(shopRequest(http::verb::post, "/book/1", "b"));
+    CHECK(Response.result_int() == 502);
+    // Long before the caller's deadline of 4 s.
+    CHECK(std::chrono::steady_clock::now() - Started < milliseconds(2000));
+    // The largest response that is accepted, and socket buffers.
+    CHECK(SentBytes.pop().value_or(1ULL << 40) <=
+          transport::MaxBodyBytes + 12 * 1024 * 1024);
+  }
+}
+
 TEST_CASE("pipelined requests run concurrently, responses keep their order") {
   one_shot_event Second;
   mesh Mesh({[&](upstream_connection &Connection) {
@@ -757,6 +811,8 @@
       {"long header", Start + "X-A: " + std::string(4000, 'a') + "\r\n\r\n",
        431},
       {"long body", Start + "Content-Length: 5000\r\n\r\n", 413},
+      {"body beyond all memory",
+       Start + "Content-Length: 999999999999\r\n\r\n", 413},
   };
   for (const input_case &Case : Cases) {
     CAPTURE(std::string(Case.Name));
--- a/tests/support/http_fixture.h
+++ b/tests/support/http_fixture.h
@@ -102,6 +102,12 @@
     boost::system::error_code Ignored;
     asio::write(Socket, asio::buffer(Bytes), Ignored);
   }
+  /// Returns false when the peer has closed the connection.
+  bool trySend(const std::string &Bytes) {
+    boost::system::error_code Error;
+    asio::write(Socket, asio::buffer(Bytes), Error);
+    return !Error;
+  }
   /// Sends a complete response. Fields are header lines, each with its line
   /// end.
   void respond(const std::string &Body, unsigned Status = 200,
