--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -388,6 +388,64 @@
   }
 }
 
+// A faulty upstream writes an earlier response once more on a kept connection,
+// while it is idle or when the next request has arrived.
+TEST_CASE(
+    "a repeated refusal is not taken for the response of a later request") {
+  struct repeat_case {
+    const char *Name;
+    bool BeforeNext; // repeated before the next request arrives
+    bool Idempotent;
+  };
+  for (const repeat_case &Case :
+       {repeat_case{"while idle", true, false},
+        repeat_case{"before the response of a booking", false, false},
+        repeat_case{"before the response of a read", false, true}}) {
+    CAPTURE(std::string(Case.Name));
+    const std::string Refusal =
+        "HTTP/1.1 503 X\r\nAttempt-Id: first\r\nNot-Executed: 1\r\n"
+        "Content-Length: 0\r\n\r\n";
+    std::atomic<int> Runs{0};
+    one_shot_event Repeated;
+    const auto Script = [&](upstream_connection &Connection) {
+      while (auto Request = Connection.read()) {
+        const std::string Id((*Request)["Attempt-Id"]);
+        if (Id == "first") {
+          Connection.send(Refusal);
+          if (Case.BeforeNext) {
+            Connection.send(Refusal);
+            Repeated.set();
+          }
+          continue;
+        }
+        if (!Case.BeforeNext)
+          Connection.send(Refusal);
+        ++Runs;
+        Connection.respond("ran", 200,
+                           SignatureField + ("Attempt-Id: " + Id + "\r\n"));
+      }
+    };
+    // Two upstreams, so that a retry would run the request again.
+    mesh Mesh({Script, Script});
+    const char *const Path = Case.Idempotent ? "/look/1" : "/book/1";
+    const auto Method = Case.Idempotent ? http::verb::get : http::verb::post;
+    http_request First = shopRequest(Method, Path);
+    First.set("Attempt-Id", "first");
+    CHECK(Mesh.call(First).result_int() == 503);
+    if (Case.BeforeNext)
+      REQUIRE(Repeated.wait());
+    for (const char *Id : {"second", "third"}) {
+      Runs = 0;
+      http_request Next = shopRequest(Method, Path);
+      Next.set("Attempt-Id", Id);
+      const auto Response = Mesh.call(Next);
+      CHECK(Response.result_int() == 200);
+      CHECK(Response.body() == "ran");
+      CHECK(Runs == 1);
+    }
+  }
+}
+
 TEST_CASE("pipelined requests run concurrently, responses keep their order") {
   one_shot_event Second;
   mesh Mesh({[&](upstream_connection &Connection) {
