--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -869,8 +869,8 @@
       {"long header", Start + "X-A: " + std::string(4000, 'a') + "\r\n\r\n",
        431},
       {"long body", Start + "Content-Length: 5000\r\n\r\n", 413},
-      {"body beyond all memory",
-       Start + "Content-Length: 999999999999\r\n\r\n", 413},
+      {"body beyond all memory", Start + "Content-Length: 999999999999\r\n\r\n",
+       413},
   };
   for (const input_case &Case : Cases) {
     CAPTURE(std::string(Case.Name));
