Give a restarted daemon the last request limit of its upstream

Cause: the daemon first restored the platform's record, which is not written for a limit, announced it, and so replaced the newer record at its peers before one of them had sent it; and of two records with the same state of the upstream it kept the first one it read.

Change: peers also send the former record back if it names another limit than the restarted daemon's; among records of the same state the later revision wins.

--- a/hyssopledge/coordination/fleet_agent.cpp
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -8,6 +8,22 @@
 
 using state::time_point;
 
+namespace {
+
+/// Whether a restarted daemon's record of its upstream lacks what the former
+/// record says.
+bool lacksFormerState(const upstream_record &Restarted,
+                      const upstream_record &Former) {
+  if (Former.State == upstream_state::None)
+    return false;
+  return Restarted.State == upstream_state::None ||
+         (Restarted.Name == Former.Name &&
+          Restarted.StartUnixMs == Former.StartUnixMs &&
+          Restarted.RequestLimit != Former.RequestLimit);
+}
+
+} // namespace
+
 fleet_agent::fleet_agent(fleet_agent_options Options, fleet_agent_hooks Hooks,
                          const operator_dialect &Dialect,
                          platform_store &Platform, peer_transport &Peers,
@@ -125,7 +141,7 @@
   for (const member_record &Record : Records) {
     if (Record.Instance == Options.Instance) {
       if (Record.Incarnation != Self.Incarnation)
-        updateFormerUpstream(Record.Upstream);
+        updateFormerUpstream(Record);
       // The system clock went back or another process uses this name; other
       // members would ignore this daemon's records.
       if (Record.Incarnation > Self.Incarnation) {
@@ -141,10 +157,10 @@
     // the others, so each daemon sends its own.
     if (Started && !Synced && Announced && Record.Instance == Sender)
       sendOwnRecord(Record.ControlAddress);
-    const bool Restarted = Known != nullptr && Started &&
-                           Record.Upstream.State == upstream_state::None;
-    if (Restarted && Known->Upstream.State != upstream_state::None) {
-      // The restarted daemon may not know that its upstream has left.
+    const bool Restarted = Known != nullptr && Started;
+    if (Restarted && lacksFormerState(Record.Upstream, Known->Upstream)) {
+      // The restarted daemon may not know that its upstream has left, or has
+      // restored an older record from the platform.
       peer_message Former = message(peer_message_kind::Records);
       Former.Members.push_back(*Known);
       sendTo(Record.ControlAddress, Former);
@@ -156,15 +172,23 @@
     Hooks.OnDirectoryChanged();
 }
 
-/// Keeps the latest state, since some members may not have received it.
-void fleet_agent::updateFormerUpstream(const upstream_record &Upstream) {
-  const auto Rank = [](const upstream_record &U) {
-    return std::make_tuple(U.StartUnixMs, U.State, U.Sequence);
+/// Keeps the latest state, since some members may not have received it. Within
+/// one state the record itself may be newer, for example with a request limit.
+void fleet_agent::updateFormerUpstream(const member_record &Former) {
+  const auto Rank = [](const upstream_record &U, std::uint64_t Incarnation,
+                       std::uint64_t Revision) {
+    return std::make_tuple(U.StartUnixMs, U.State, U.Sequence, Incarnation,
+                           Revision);
   };
+  const upstream_record &Upstream = Former.Upstream;
   if (Upstream.State == upstream_state::None ||
-      (FormerUpstream && Rank(*FormerUpstream) >= Rank(Upstream)))
+      (FormerUpstream &&
+       Rank(*FormerUpstream, FormerIncarnation, FormerRevision) >=
+           Rank(Upstream, Former.Incarnation, Former.Revision)))
     return;
   FormerUpstream = Upstream;
+  FormerIncarnation = Former.Incarnation;
+  FormerRevision = Former.Revision;
   if (Hooks.OnFormerUpstream)
     Hooks.OnFormerUpstream(Upstream);
 }
--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -177,7 +177,7 @@
   void sendOwnRecord(const std::string &ControlAddress);
   void mergeMembers(const std::vector<member_record> &Records,
                     const std::string &Sender);
-  void updateFormerUpstream(const upstream_record &Upstream);
+  void updateFormerUpstream(const member_record &Former);
   void registerSelf();
   void writeSelf();
   void readFormerRecord(const std::string &Key);
@@ -233,6 +233,8 @@
 
   member_record Self;
   std::optional<upstream_record> FormerUpstream;
+  std::uint64_t FormerIncarnation = 0; // of the record with FormerUpstream
+  std::uint64_t FormerRevision = 0;
   fleet_directory Directory;
   std::map<std::string, beacon> Beacons; // by instance
   std::shared_ptr<const state::route_table> Document;
--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -301,6 +301,25 @@
   CHECK(Again.Agent->formerUpstream()->State == upstream_state::Gone);
 }
 
+// A changed limit is sent to the members but not written to the platform.
+TEST_CASE("a restarted daemon learns the last request limit of its upstream") {
+  auto Fleet = sixDaemons();
+  Fleet->serve("a-2", "v1");
+  Fleet->run(milliseconds(500));
+  auto Upstream = Fleet->Nodes.at("a-2")->Agent->self().Upstream;
+  for (const double Limit : {40.0, 12.5}) {
+    Upstream.RequestLimit = Limit;
+    Fleet->Nodes.at("a-2")->Agent->setUpstream(Upstream);
+    Fleet->run(milliseconds(500));
+  }
+  Fleet->remove("a-2");
+  Fleet->add("a-2", 2);
+  Fleet->run(milliseconds(500));
+  const auto &Former = Fleet->Nodes.at("a-2")->Agent->formerUpstream();
+  REQUIRE(Former.has_value());
+  CHECK(Former->RequestLimit == 12.5);
+}
+
 TEST_CASE("a daemon that starts knows the upstreams of the others at once") {
   struct start_case {
     const char *Name;
