Raise a request limit step by step when it ends

Cause: the limit ended with the first response without it.

An upstream that has just recovered isn't flooded, and one response that lacks the field changes little.

--- a/hyssopledge/state/rate_limiter.cpp
+++ b/hyssopledge/state/rate_limiter.cpp
@@ -6,26 +6,40 @@
 namespace hyssopledge::state {
 
 void rate_limiter::setRate(std::optional<double> PerSecond, time_point Now) {
-  if (PerSecond)
-    PerSecond = std::max(*PerSecond, MinRate);
-  if (Rate == PerSecond)
-    return;
-  Tokens = Rate ? tokensAt(Now) : 1;
+  const std::optional<double> Current = rate(Now);
+  Tokens = Current ? tokensAt(Now, *Current) : 1;
   UpdatedAt = Now;
-  Rate = PerSecond;
+  if (PerSecond) {
+    Rate = std::max(*PerSecond, MinRate);
+    EndedAt.reset();
+  } else if (Rate && !EndedAt) {
+    EndedAt = Now;
+  }
 }
 
-double rate_limiter::tokensAt(time_point Now) const {
+std::optional<double> rate_limiter::rate(time_point Now) const {
+  if (!Rate || !EndedAt)
+    return Rate;
+  const auto Elapsed = Now - *EndedAt;
+  if (Elapsed >= ReleasePeriod)
+    return std::nullopt;
+  return *Rate * std::exp2(std::chrono::duration<double>(Elapsed) /
+                           std::chrono::duration<double>(DoublingPeriod));
+}
+
+double rate_limiter::tokensAt(time_point Now, double RateNow) const {
+  const double MeanRate = (rate(UpdatedAt).value_or(RateNow) + RateNow) / 2;
   const double Capacity =
-      std::max(1.0, *Rate * std::chrono::duration<double>(Burst).count());
+      std::max(1.0, RateNow * std::chrono::duration<double>(Burst).count());
   const double Elapsed = std::chrono::duration<double>(Now - UpdatedAt).count();
-  return std::min(Capacity, Tokens + std::max(0.0, Elapsed) * *Rate);
+  return std::min(Capacity, Tokens + std::max(0.0, Elapsed) * MeanRate);
 }
 
 bool rate_limiter::tryAcquire(time_point Now) {
-  if (!Rate)
+  const std::optional<double> Current = rate(Now);
+  if (!Current)
     return true;
-  const double Available = tokensAt(Now);
+  const double Available = tokensAt(Now, *Current);
   if (Available < 1)
     return false;
   Tokens = Available - 1;
@@ -34,11 +48,12 @@
 }
 
 milliseconds rate_limiter::waitFor(std::size_t Count, time_point Now) const {
-  if (!Rate)
+  const std::optional<double> Current = rate(Now);
+  if (!Current)
     return milliseconds(0);
-  const double Missing = static_cast<double>(Count) - tokensAt(Now);
+  const double Missing = static_cast<double>(Count) - tokensAt(Now, *Current);
   return milliseconds(static_cast<std::int64_t>(
-      std::ceil(std::max(0.0, Missing) * 1000 / *Rate)));
+      std::ceil(std::max(0.0, Missing) * 1000 / *Current)));
 }
 
 } // namespace hyssopledge::state
--- a/hyssopledge/state/slot_queue.cpp
+++ b/hyssopledge/state/slot_queue.cpp
@@ -232,7 +232,7 @@
   const auto DecayMs = static_cast<double>(OnTimeDecayPeriod.count());
   const double Decay = std::exp(-Elapsed / DecayMs);
   const double SlotShare = OnTimeMs * Decay / (DecayMs * Slots);
-  const auto Rate = RateLimiter.rate();
+  const auto Rate = RateLimiter.rate(Now);
   const double RateShare =
       Rate ? OnTimeStarts * Decay * 1000 / (DecayMs * *Rate) : 0;
   return std::max(SlotShare, RateShare);
@@ -325,7 +325,7 @@
 
 void slot_queue::refuseBeyondRate(time_point Now,
                                   std::vector<queue_release> &Out) {
-  if (!RateLimiter.rate() || Waiting.empty() ||
+  if (!RateLimiter.rate(Now) || Waiting.empty() ||
       Now - RateCheckedAt < RateCheckInterval)
     return;
   RateCheckedAt = Now;
--- a/hyssopledge/state/slot_queue.h
+++ b/hyssopledge/state/slot_queue.h
@@ -103,7 +103,6 @@
   void setRateLimit(std::optional<double> PerSecond, time_point Now) {
     RateLimiter.setRate(PerSecond, Now);
   }
-  std::optional<double> rateLimit() const { return RateLimiter.rate(); }
   /// Runs, queues or refuses a new request.
   slot_decision admit(const slot_request &Request, time_point Now);
   /// Frees the slot of a request; RunTime is 0 if the upstream did not respond.
