Send the counts of cut runs only where there are any

Found while reading the change again: the two numbers made each row of the evidence longer, and all rows share one datagram.

--- a/hyssopledge/coordination/peer_message.cpp
+++ b/hyssopledge/coordination/peer_message.cpp
@@ -142,9 +142,15 @@
   }
   case peer_message_kind::Evidence: {
     json Counts = json::array();
-    for (const auto &[Route, Count] : M.Counts)
-      Counts.push_back({Route, Count.Runs, Count.Failures, Count.TotalMs,
-                        Count.Unfinished, Count.UnfinishedMs});
+    for (const auto &[Route, Count] : M.Counts) {
+      json Row =
+          json::array({Route, Count.Runs, Count.Failures, Count.TotalMs});
+      if (Count.Unfinished > 0) {
+        Row.push_back(Count.Unfinished);
+        Row.push_back(Count.UnfinishedMs);
+      }
+      Counts.push_back(std::move(Row));
+    }
     J.push_back(M.Service);
     J.push_back(M.Version);
     J.push_back(M.OrderRevision);
@@ -207,7 +213,7 @@
         Count.Runs = Row.at(1).get<std::uint64_t>();
         Count.Failures = Row.at(2).get<std::uint64_t>();
         Count.TotalMs = Row.at(3).get<std::uint64_t>();
-        if (Row.size() > 5) { // not sent by earlier versions
+        if (Row.size() > 5) { // sent only if there are any
           Count.Unfinished = Row.at(4).get<std::uint64_t>();
           Count.UnfinishedMs = Row.at(5).get<std::uint64_t>();
         }
--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -312,6 +312,28 @@
   CHECK(Received.find("member-3")->Upstream.State == upstream_state::Draining);
 }
 
+TEST_CASE("the evidence of a rollout decodes to the encoded counts") {
+  peer_message Message;
+  Message.Kind = peer_message_kind::Evidence;
+  Message.From = "a-1";
+  Message.OrderRevision = 7;
+  Message.Incarnation = 3;
+  Message.Counts = {{"page", {10, 2, 400, 0, 0}}, {"book", {0, 0, 0, 5, 2000}}};
+  const auto Read = decodePeerMessage(encodePeerMessage(Message));
+  REQUIRE(Read.has_value());
+  CHECK(Read.value().OrderRevision == 7);
+  CHECK(Read.value().Incarnation == 3);
+  REQUIRE(Read.value().Counts.size() == 2);
+  for (const auto &[Route, Count] : Message.Counts) {
+    const run_counts &Decoded = Read.value().Counts.at(Route);
+    CHECK(Decoded.Runs == Count.Runs);
+    CHECK(Decoded.Failures == Count.Failures);
+    CHECK(Decoded.TotalMs == Count.TotalMs);
+    CHECK(Decoded.Unfinished == Count.Unfinished);
+    CHECK(Decoded.UnfinishedMs == Count.UnfinishedMs);
+  }
+}
+
 TEST_CASE("an upstream's request limit is encoded, and may be absent") {
   for (const std::optional<double> Limit :
        {std::optional<double>(), std::optional<double>(12.5),
