--- a/hyssopledge/state/slot_queue.h
+++ b/hyssopledge/state/slot_queue.h
@@ -21,9 +21,8 @@
 ///   daemons. It does not shed load here: when all upstreams are slow, refusals
 ///   would only move requests between them.
 /// - An upstream in need that accepts a limited rate: a request starts only
-/// with
-///   a free slot and within the rate. The expected waits include the rate, so
-///   that what it can't serve in time is refused on arrival.
+///   with a free slot and within the rate. The expected waits include the rate,
+///   so that what it can't serve in time is refused on arrival.
 #pragma once
 
 #include "hyssopledge/state/clock.h"
