--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -168,6 +168,18 @@
   return Fleet;
 }
 
+/// Two daemons beside v1, two beside v2, and the order to move to v2.
+std::unique_ptr<fleet> sixDaemonsInRollout() {
+  auto Fleet = sixDaemons();
+  for (const char *Old : {"a-2", "b-1"})
+    Fleet->serve(Old, "v1");
+  for (const char *New : {"a-3", "b-2"})
+    Fleet->serve(New, "v2");
+  Fleet->put("op/rollout/pages",
+             R"({"service":"pages","toVersion":"v2","durationS":16})");
+  return Fleet;
+}
+
 bool allHave(const fleet &Fleet, std::uint64_t Version) {
   for (const auto &[Name, Node] : Fleet.Nodes)
     if (Fleet.version(Name) != Version)
@@ -512,13 +524,7 @@
   };
   for (const rollout_case &Case : Cases) {
     CAPTURE(std::string(Case.Name));
-    auto Fleet = sixDaemons();
-    for (const char *Old : {"a-2", "b-1"})
-      Fleet->serve(Old, "v1");
-    for (const char *New : {"a-3", "b-2"})
-      Fleet->serve(New, "v2");
-    Fleet->put("op/rollout/pages",
-               R"({"service":"pages","toVersion":"v2","durationS":16})");
+    auto Fleet = sixDaemonsInRollout();
     for (int Step = 0; Step < 150; ++Step) {
       if (Step == 30)
         Case.Fault(*Fleet);
@@ -580,13 +586,7 @@
   };
   for (const restart_case &Case : Cases) {
     CAPTURE(std::string(Case.Name));
-    auto Fleet = sixDaemons();
-    for (const char *Old : {"a-2", "b-1"})
-      Fleet->serve(Old, "v1");
-    for (const char *New : {"a-3", "b-2"})
-      Fleet->serve(New, "v2");
-    Fleet->put("op/rollout/pages",
-               R"({"service":"pages","toVersion":"v2","durationS":16})");
+    auto Fleet = sixDaemonsInRollout();
     constexpr int RestartStep = 90; // after the full share, before the end
     for (int Step = 0; Step < 150; ++Step) {
       if (Step == RestartStep)
