Find relays after a common start and grant leases only when known

Ruled out: lost acknowledgements and a lost confirmation record; the daemon knew one member, itself. A relay that leaves it out could not be the cause either: relays only look for other relays.

Change: a daemon that knows no live relay keeps reading the seats. A daemon grants leases only if it holds a seat, knows all members, or is in touch with a holder of a seat. The wait for unknown members begins with the first answer of the platform. Calls that fail together count as one failure in the back-off. Dead members are probed once in a period by all daemons together, so that a daemon which restarts in an outage is found in a small fleet, too.

The 30 s from acceptance to the statement on a new fleet are the wait for members that nobody knows yet; they stay.

--- a/hyssopledge/coordination/control_agent.cpp
+++ b/hyssopledge/coordination/control_agent.cpp
@@ -429,6 +429,7 @@
   Context.KnownHeadRefused = Documents.knownHeadRefused();
   Context.MajorityReachable = Members.majorityReachable(Now);
   Context.PlatformDown = PlatformDown;
+  Context.KnownToFleet = knownToFleet();
   const control::gossip_record *Record =
       Store.findRecord(control::RECORD_CONFIRMATION, Options.Environment);
   control::confirmation Confirmation;
--- a/hyssopledge/coordination/control_agent.h
+++ b/hyssopledge/coordination/control_agent.h
@@ -19,6 +19,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -185,6 +186,10 @@
 
   // control_agent_calls.cpp
   void tickStart(state::time_point Now);
+  std::set<std::string> liveAddresses() const; // control addresses
+  /// Whether the coordinator can know this daemon: it holds a relay seat, knows
+  /// all members, or is in touch with a daemon that holds a relay seat.
+  bool knownToFleet() const;
   std::vector<std::string> unknownContacts() const;
   void tickAllMembersKnown(state::time_point Now);
   void syncWith(const std::string &Address);
@@ -206,6 +211,9 @@
   void tickReports(state::time_point Now);
   void addReport(const control::report_request &Report);
   void trackReport(const control::report_request &Report);
+  /// Control addresses of the live relays in the own data centre or, if there
+  /// are none, in the others.
+  std::vector<std::string> relayAddresses() const;
   std::optional<std::string> relayAddress();
   std::string collector() const;
   std::size_t dataCentreMemberCount() const;
@@ -237,11 +245,13 @@
   bool Leaving = false;
   unsigned SyncsSucceeded = 0;
   unsigned SyncsFailed = 0;
-  std::vector<std::string> Contacts; // control addresses for joining
+  std::vector<std::string> Contacts;    // control addresses for joining
+  std::vector<std::string> SeatHolders; // others, as last read
   std::size_t NextContact = 0;
   state::time_point StartedAt{};
   state::time_point NextSync{};
   bool SeatsRead = false;
+  state::time_point DiscoveryStartedAt{}; // the first read of the seats
   bool ReadingLevels = false;
   state::time_point NextLevelsCheck{};
 
--- a/hyssopledge/coordination/control_agent_calls.cpp
+++ b/hyssopledge/coordination/control_agent_calls.cpp
@@ -20,7 +20,8 @@
 constexpr milliseconds ReportInterval{1000};
 constexpr std::size_t MaxPendingEvidence = 2048; // items for the next report
 constexpr unsigned MaxFailedStartSyncs = 3;
-constexpr unsigned MemberDiscoveryIntervals = 30; // probe intervals after start
+// Probe intervals after the first answer of the platform.
+constexpr unsigned MemberDiscoveryIntervals = 30;
 
 } // namespace
 
@@ -56,11 +57,25 @@
     syncWith(Peer->control_address());
 }
 
-std::vector<std::string> control_agent::unknownContacts() const {
-  std::set<std::string> Known;
+std::set<std::string> control_agent::liveAddresses() const {
+  std::set<std::string> Addresses;
   for (const auto &[Instance, Entry] : Store.members())
     if (Entry.Member.status() == control::MEMBER_ALIVE)
-      Known.insert(Entry.Member.control_address());
+      Addresses.insert(Entry.Member.control_address());
+  return Addresses;
+}
+
+bool control_agent::knownToFleet() const {
+  if (holdsRelaySeat() || Tracker.allMembersKnown())
+    return true;
+  const std::set<std::string> Known = liveAddresses();
+  return std::any_of(
+      SeatHolders.begin(), SeatHolders.end(),
+      [&Known](const std::string &Holder) { return Known.contains(Holder); });
+}
+
+std::vector<std::string> control_agent::unknownContacts() const {
+  const std::set<std::string> Known = liveAddresses();
   std::vector<std::string> Unknown;
   for (const std::string &Contact : Contacts)
     if (!Known.contains(Contact))
@@ -122,8 +137,11 @@
 // After a restart of the whole fleet no daemon does; the lease levels on the
 // platform then name the instances that may hold a lease.
 void control_agent::tickAllMembersKnown(time_point Now) {
+  // The others can find this daemon only while the platform answers.
   if (Tracker.allMembersKnown() || collector() != Options.Instance ||
-      Now < StartedAt + MemberDiscoveryIntervals * Options.ProbeInterval)
+      !SeatsRead ||
+      Now <
+          DiscoveryStartedAt + MemberDiscoveryIntervals * Options.ProbeInterval)
     return;
   if (Now >= StartedAt + Tracker.staleLeaseTimeout())
     return Tracker.onAllMembersKnown();
@@ -155,8 +173,10 @@
 void control_agent::tickPlatform(time_point Now) {
   const bool IsRelay = holdsRelaySeat();
   Documents.setRelay(IsRelay);
-  // Relays keep reading the seats, to find relays of separate groups.
-  if ((!SeatsRead || IsRelay) && Now >= NextSeatsRead)
+  // Relays keep reading the seats, to find relays of separate groups. So do
+  // daemons that know no relay: the seats may have been free at the last read.
+  if (Now >= NextSeatsRead &&
+      (!SeatsRead || IsRelay || relayAddresses().empty()))
     readSeats();
   if (IsRelay != WatchWanted) {
     WatchWanted = IsRelay;
@@ -258,33 +278,38 @@
   if (ReadingSeats || !Budget.tryConsume(Now, 1))
     return;
   ReadingSeats = true;
-  Platform.get(keys::relaySeatsPrefix(Options.Environment), true,
-               guarded([this](const state::result<platform_read> &Read) {
-                 const time_point At = Clock();
-                 ReadingSeats = false;
-                 NextSeatsRead = At + 1s;
-                 if (!Read) {
-                   PlatformDown = true;
-                   Gate.onPlatformFailed();
-                   Budget.onFailure(At, Random);
-                   return;
-                 }
-                 Budget.onSuccess();
-                 SeatsRead = true;
-                 // Separate groups are likely after the start and rare later.
-                 NextSeatsRead = At + (At < StartedAt + 30s
-                                           ? randomBetween(Random, 2s, 4s)
-                                           : randomBetween(Random, 30s, 60s));
-                 Contacts = Options.BootstrapPeers;
-                 std::erase(Contacts, Options.ControlAddress);
-                 for (const platform_entry &Entry : Read.value().Entries) {
-                   control::seat Value;
-                   if (Value.ParseFromString(Entry.Value) &&
-                       Value.instance() != Options.Instance)
-                     Contacts.push_back(Value.control_address());
-                 }
-                 std::shuffle(Contacts.begin(), Contacts.end(), Random);
-               }));
+  Platform.get(
+      keys::relaySeatsPrefix(Options.Environment), true,
+      guarded([this](const state::result<platform_read> &Read) {
+        const time_point At = Clock();
+        ReadingSeats = false;
+        NextSeatsRead = At + 1s;
+        if (!Read) {
+          PlatformDown = true;
+          Gate.onPlatformFailed();
+          Budget.onFailure(At, Random);
+          return;
+        }
+        Budget.onSuccess();
+        if (!SeatsRead)
+          DiscoveryStartedAt = At;
+        SeatsRead = true;
+        // Separate groups are likely after the start and rare later.
+        const bool Separate = At < StartedAt + 30s || relayAddresses().empty();
+        NextSeatsRead = At + (Separate ? randomBetween(Random, 2s, 4s)
+                                       : randomBetween(Random, 30s, 60s));
+        SeatHolders.clear();
+        for (const platform_entry &Entry : Read.value().Entries) {
+          control::seat Value;
+          if (Value.ParseFromString(Entry.Value) &&
+              Value.instance() != Options.Instance)
+            SeatHolders.push_back(Value.control_address());
+        }
+        Contacts = Options.BootstrapPeers;
+        std::erase(Contacts, Options.ControlAddress);
+        Contacts.insert(Contacts.end(), SeatHolders.begin(), SeatHolders.end());
+        std::shuffle(Contacts.begin(), Contacts.end(), Random);
+      }));
 }
 
 void control_agent::fetchFromPlatform(std::uint64_t FetchId,
@@ -427,9 +452,7 @@
 // Renewals and reports
 //-----------------------------------------------------------------------------
 
-std::optional<std::string> control_agent::relayAddress() {
-  if (holdsRelaySeat())
-    return Options.ControlAddress;
+std::vector<std::string> control_agent::relayAddresses() const {
   std::vector<std::string> LocalRelays;
   std::vector<std::string> RemoteRelays;
   const std::string OwnPrefix = "relay/" + Options.DataCentre + "/";
@@ -445,8 +468,13 @@
     (Key.second.starts_with(OwnPrefix) ? LocalRelays : RemoteRelays)
         .push_back(Member->control_address());
   }
-  const std::vector<std::string> &Relays =
-      LocalRelays.empty() ? RemoteRelays : LocalRelays;
+  return LocalRelays.empty() ? RemoteRelays : LocalRelays;
+}
+
+std::optional<std::string> control_agent::relayAddress() {
+  if (holdsRelaySeat())
+    return Options.ControlAddress;
+  const std::vector<std::string> Relays = relayAddresses();
   if (!Relays.empty())
     return Relays[state::uniformBelow(Random, Relays.size())];
   // The leases of seats expire while the platform is down; any daemon may then
--- a/hyssopledge/coordination/jitter.h
+++ b/hyssopledge/coordination/jitter.h
@@ -49,7 +49,11 @@
     return true;
   }
   void onSuccess() { Failures = 0; }
+  /// Calls that fail while a back-off is active were sent before it began; they
+  /// do not extend it.
   void onFailure(state::time_point Now, state::random_engine &Random) {
+    if (Now < BlockedUntil)
+      return;
     const auto Backoff = std::min<state::milliseconds>(
         Options.MaxBackoff,
         Options.MinBackoff * (1U << std::min(Failures, 10U)));
--- a/hyssopledge/coordination/lease_policy.cpp
+++ b/hyssopledge/coordination/lease_policy.cpp
@@ -119,6 +119,9 @@
       Request.applied_version() >= Newest ||
       (Context.KnownHeadRefused && Context.KnownVersion == Newest &&
        Request.applied_version() >= Context.AppliedVersion);
+  // The coordinator waits for the leases of known members only.
+  if (!Context.KnownToFleet)
+    return "in touch with no relay";
   if (hasRecentConfirmation(Now)) {
     if (!IsUpToDate)
       return "version " + std::to_string(Request.applied_version()) +
--- a/hyssopledge/coordination/lease_policy.h
+++ b/hyssopledge/coordination/lease_policy.h
@@ -76,6 +76,7 @@
   bool KnownHeadRefused = false;  // no valid snapshot from the known head
   bool MajorityReachable = false; // more than half of the last known members
   bool PlatformDown = false;      // the last read failed
+  bool KnownToFleet = true;       // the coordinator can know this daemon
   std::uint64_t ConfirmedVersion = 0; // highest in a gossiped confirmation
   std::uint32_t RememberedLevel = 0;  // in the member's record
   bool LeftCleanly = false; // the former process announced that it left
--- a/hyssopledge/coordination/membership.cpp
+++ b/hyssopledge/coordination/membership.cpp
@@ -19,6 +19,8 @@
 }
 
 constexpr std::size_t MaxRelayedProbes = 256;
+// Lower bound of the interval between probes of dead members.
+constexpr unsigned MinDeadRetryPeriods = 2;
 // If the inbound direction of a daemon's network fails, all its probes fail.
 // The first failures without any received packet therefore raise no suspicion.
 constexpr unsigned MaxIgnoredProbeFailures = 3;
@@ -42,9 +44,8 @@
   // Random offset, so that daemons that start together do not probe in step.
   NextProbe =
       Now + scaled(Options.ProtocolPeriod, state::unitInterval(Random()));
-  NextDeadRetry =
-      Now + scaled(Options.ProtocolPeriod * Options.DeadRetryPeriods,
-                   0.5 + state::unitInterval(Random()));
+  NextDeadRetry = Now + scaled(Options.ProtocolPeriod * MinDeadRetryPeriods,
+                               0.5 + state::unitInterval(Random()));
   processChanges(Now);
 }
 
@@ -301,9 +302,12 @@
 
 void membership::probeDeadMember(time_point Now,
                                  std::vector<outgoing_packet> &Out) {
-  NextDeadRetry =
-      Now + scaled(Options.ProtocolPeriod * Options.DeadRetryPeriods,
-                   0.75 + 0.5 * state::unitInterval(Random()));
+  // All live members together probe about one dead member in each period.
+  const auto Periods = static_cast<unsigned>(std::clamp<std::size_t>(
+      Store.liveCount(), std::size_t{MinDeadRetryPeriods},
+      Options.MaxDeadRetryPeriods));
+  NextDeadRetry = Now + scaled(Options.ProtocolPeriod * Periods,
+                               0.75 + 0.5 * state::unitInterval(Random()));
   const control::member *Chosen = nullptr;
   std::uint64_t Seen = 0;
   for (const auto &[Instance, Entry] : Store.members())
--- a/hyssopledge/coordination/membership.h
+++ b/hyssopledge/coordination/membership.h
@@ -22,7 +22,9 @@
   state::milliseconds ProtocolPeriod{1000};
   unsigned IndirectProbes = 3;
   unsigned SuspicionPeriods = 5;
-  unsigned DeadRetryPeriods = 30; // probes dead members, to rejoin partitions
+  /// Bounds the interval between probes of dead members, which rejoin
+  /// partitions and daemons that restart while the platform is down.
+  std::size_t MaxDeadRetryPeriods = 30;
   unsigned SyncMismatchThreshold = 3;    // consecutive digest mismatches
   std::size_t SyncBytesPerSecond = 4096; // mean bandwidth for full syncs
 };
