Test the rate of a link in settings and records

Cause: the new setting and the new field of a record had no tests of their own. Change: tests; a negative rate is refused with the name of the field.

--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -334,16 +334,20 @@
   }
 }
 
-TEST_CASE("an upstream's request limit is encoded, and may be absent") {
+TEST_CASE("an upstream's request limit and the rate of a link are encoded, and "
+          "may be absent") {
   for (const std::optional<double> Limit :
        {std::optional<double>(), std::optional<double>(12.5),
-        std::optional<double>(0)}) {
-    member_record Record = member("a-1", 3, 4);
-    Record.Upstream.RequestLimit = Limit;
-    const auto Read = decodeMember(encodeMember(Record));
-    REQUIRE(Read.has_value());
-    CHECK(Read.value().Upstream.RequestLimit == Limit);
-  }
+        std::optional<double>(0)})
+    for (const double LinkMbps : {0.0, 10.0, 0.5}) {
+      member_record Record = member("a-1", 3, 4);
+      Record.Upstream.RequestLimit = Limit;
+      Record.LinkMbps = LinkMbps;
+      const auto Read = decodeMember(encodeMember(Record));
+      REQUIRE(Read.has_value());
+      CHECK(Read.value().Upstream.RequestLimit == Limit);
+      CHECK(Read.value().LinkMbps == LinkMbps);
+    }
 }
 
 TEST_CASE("damaged datagrams fail to decode without a crash") {
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -23,7 +23,7 @@
     "nodeName": "sidecar-bci-a-1", "zone": "bci-a", "ip": "10.1.0.8",
     "listen": {"inbound": "10.1.0.8:8300", "outbound": "10.1.0.8:8304",
                "ready": "10.1.0.8:8302", "control": "10.1.0.8:8306"},
-    "internalPortRange": [7620, 7635], "limits": {"memoryMb": 260},
+    "internalPortRange": [7620, 7635], "limits": {"linkMbps": 10.0},
     "bounds": ["drainMs=2500", "retryBudgetRatio=0.3", "graceS=7",
                "retryBudgetSlack=158", "budgetWindowS=12", "other=x", 7],
     "appAddress": "10.1.0.8:8301", "service": "huvo11a",
@@ -100,12 +100,16 @@
   CHECK(S.RetryBudgetWindow == std::chrono::seconds(12));
   CHECK(S.RetryBudgetRatio == doctest::Approx(0.3));
   CHECK(S.RetryBudgetSlack == doctest::Approx(158));
+  CHECK(S.LinkMbps == doctest::Approx(10));
 }
 
 TEST_CASE("invalid settings are refused with the field name") {
   const change_case Cases[] = {
       {"/nodeName", nullptr, "nodeName"},
       {"/nodeName", 5, "nodeName"},
+      {"/limits", 3, "limits"},
+      {"/limits/linkMbps", "x", "linkMbps"},
+      {"/limits/linkMbps", -1, "linkMbps"},
       {"/listen", nullptr, "listen"},
       {"/listen/outbound", nullptr, "outbound"},
       {"/internalPortRange", json::array({7620}), "internalPortRange"},
