Show in tests that a version completes without evidence

Hypotheses, written before the logs were read by line: evidence lost while no relay reaches the store (daemons send it to such relays only); no decision in that time (no coordinator); a completion that asks for time and not for runs. The log shows all three.

--- a/hyssopledge/coordination/fast_rollout_policy.h
+++ b/hyssopledge/coordination/fast_rollout_policy.h
@@ -37,6 +37,10 @@
   const route_counts &New;       // since the order
   const route_counts &NewInStep; // since the share last changed
   const route_counts &Old;       // since the order
+  /// The daemons beside at least half of the new slots have reported recently.
+  bool EvidenceCurrent = true;
+  /// The state can be recorded; without it the version can only be rolled back.
+  bool PlatformReached = true;
 };
 
 struct fast_rollout_decision {
--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -557,6 +557,62 @@
   }
 }
 
+// While the platform is away, no relay can write a state, but calls go on.
+TEST_CASE("a version that turns bad during an outage of the platform gets no "
+          "more requests") {
+  struct outage_case {
+    const char *Name;
+    int OutageStep;    // 100 ms each, from the order
+    int OutageEndStep; // the rollout is to be completed at step 160
+    bool Bad;          // from the full share on
+    const char *Expected;
+  };
+  const outage_case Cases[] = {
+      {"bad, no outage", 200, 200, true, "rolled_back"},
+      {"bad, outage before the full share", 60, 130, true, "rolled_back"},
+      {"bad, outage at the full share", 74, 130, true, "rolled_back"},
+      {"bad, outage until after the deadline", 76, 170, true, "rolled_back"},
+      {"good, short outage", 60, 90, false, "completed"},
+      {"good, outage at the full share", 78, 130, false, "completed"},
+  };
+  for (const outage_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    auto Fleet = sixDaemonsInRollout();
+    unsigned BadRuns = 0;
+    for (int Step = 0; Step < 200; ++Step) {
+      if (Step == Case.OutageStep) {
+        Fleet->Platform.Down = true;
+        Fleet->Platform.breakWatches();
+      }
+      if (Step == Case.OutageEndStep)
+        Fleet->Platform.Down = false;
+      Fleet->run(milliseconds(100));
+      const std::uint32_t ShareBp =
+          coordination::trafficSplit(
+              Fleet->Nodes.at("b-2")->Agent->directory().rollout("pages"))
+              .ShareBp;
+      const bool Bad = Case.Bad && ShareBp == 10'000;
+      const auto AddRuns = [&](const char *Name, std::uint64_t Runs,
+                               bool Fails) {
+        auto &Count = Fleet->Nodes.at(Name)->Counts["r"];
+        Count.Runs += Runs;
+        Count.Failures += Fails ? Runs / 2 : 0;
+        Count.TotalMs += (Fails ? Runs - Runs / 2 : Runs) * 100;
+      };
+      for (const char *Old : {"a-2", "b-1"})
+        AddRuns(Old, ShareBp == 10'000 ? 0 : 10, false);
+      for (const char *New : {"a-3", "b-2"})
+        AddRuns(New, ShareBp * 20 / 10'000, Bad);
+      BadRuns += Bad ? 20 : 0;
+    }
+    const auto &Entries = Fleet->Platform.entries();
+    REQUIRE(Entries.contains("status/rollout/pages"));
+    CHECK(Entries.at("status/rollout/pages").Value.find(Case.Expected) !=
+          std::string::npos);
+    CHECK(BadRuns <= 50 + 50 * 2); // 50 failures, then no more than that again
+  }
+}
+
 // A daemon that restarts counts from 0. At the full share the old version gets
 // no more runs, so its earlier ones are all there is to compare with.
 TEST_CASE("evidence of a rollout outlives the daemons that counted it") {
--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -460,6 +460,73 @@
   }
 }
 
+// An upstream may serve few requests, for example within a limit of its own,
+// and evidence may be lost or late.
+TEST_CASE("a step needs evidence of its own") {
+  struct evidence_case {
+    const char *Name;
+    int ElapsedMs;
+    std::uint32_t ShareBp;
+    route_counts New;
+    route_counts NewInStep;
+    bool EvidenceCurrent;
+    bool PlatformReached;
+    rollout_state State;
+    std::uint32_t MaxShareBp;
+  };
+  const auto Running = rollout_state::Running;
+  const evidence_case Cases[] = {
+      {"enough runs at the whole share", 13'500, 10'000, counts(300, 0, 100),
+       counts(100, 0, 100), true, true, rollout_state::Completed, 10'000},
+      {"one run at the whole share", 13'500, 10'000, counts(28, 0, 100),
+       counts(1, 0, 100), true, true, Running, 10'000},
+      {"late evidence at the whole share", 13'500, 10'000, counts(300, 0, 100),
+       counts(100, 0, 100), false, true, Running, 10'000},
+      {"no platform at the whole share", 13'500, 10'000, counts(300, 0, 100),
+       counts(100, 0, 100), true, false, Running, 10'000},
+      {"enough runs at a fifth", 6500, 2000, counts(60, 0, 100),
+       counts(30, 0, 100), true, true, Running, 5000},
+      {"no run at a fifth",
+       6500,
+       2000,
+       counts(30, 0, 100),
+       {},
+       true,
+       true,
+       Running,
+       2000},
+      {"late evidence at a fifth", 6500, 2000, counts(60, 0, 100),
+       counts(30, 0, 100), false, true, Running, 2000},
+      {"no platform, bad", 6500, 2000, counts(60, 30, 100), counts(30, 30, 100),
+       true, false, rollout_state::RolledBack, 0},
+  };
+  for (const evidence_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    const route_counts Old = counts(500, 2, 100);
+    fast_rollout_input Input{milliseconds(Case.ElapsedMs),
+                             milliseconds(16'000),
+                             milliseconds(3000),
+                             Case.ShareBp,
+                             24,
+                             24,
+                             false,
+                             Case.New,
+                             Case.NewInStep,
+                             Old};
+    Input.EvidenceCurrent = Case.EvidenceCurrent;
+    Input.PlatformReached = Case.PlatformReached;
+    const fast_rollout_decision Decision = decideShare(Input);
+    CHECK(Decision.State == Case.State);
+    CHECK(Decision.ShareBp <= Case.MaxShareBp);
+  }
+  // A service without calls completes without evidence.
+  const route_counts None;
+  CHECK(
+      decideShare({milliseconds(13'500), milliseconds(16'000),
+                   milliseconds(3000), 10'000, 24, 24, false, None, None, None})
+          .State == rollout_state::Completed);
+}
+
 TEST_CASE("a bad version keeps within its part of the requests") {
   // 200 requests per second for 16 s. The version fails half of them from the
   // given time on; evidence reaches the coordinator after 300 ms.
