Complete a version on evidence, and roll back without the platform

Cause: as in the tests before this commit: evidence went only to relays that reach the platform, nobody decided while none did, and a completion asked for time at the whole share and not for runs.

Change: evidence goes to all relays; while no relay reaches the platform the lowest one decides, but it can only roll back; the share rises and the version completes only with current evidence and with runs in the step (a quarter of what the service's calls would bring, at most 12); a partial share that can't rise falls back to 5 % half a second after its time, since a fifth of the calls for long exceeds the tenth that is allowed. A relay that loses the platform says so at once.

Result: fleet_agent_test and fleet_records_test pass.

--- a/hyssopledge/coordination/fast_rollout_policy.cpp
+++ b/hyssopledge/coordination/fast_rollout_policy.cpp
@@ -25,6 +25,12 @@
 // Runs that are required before the share rises above MaxUnprovenShareBp.
 constexpr std::uint64_t MinRunsToRaise = 12;
 constexpr std::uint32_t MaxUnprovenShareBp = 500;
+// A partial share that can't rise this long after its time falls back to
+// MaxUnprovenShareBp: the calls until then would exceed the 10 %.
+constexpr std::chrono::milliseconds MaxHoldPeriod{500};
+// A step ends only with this part of the runs that the service's calls since
+// the order would have brought in its time, and no more than MinRunsToRaise.
+constexpr double MinPartOfExpectedRuns = 0.25;
 
 //--- Test ---------------------------------------------------------------------
 // A version is bad if its failures exceed the number expected from the old
@@ -157,6 +163,34 @@
          failureRate(NewTotal) > failureRate(total(Old)) + SuspectExcessRate;
 }
 
+/// Whether the new version had enough runs since the share last changed. Limits
+/// of the upstreams or lost calls may leave it few.
+bool hasRunsInStep(const fast_rollout_input &Input) {
+  const auto Calls =
+      static_cast<double>(total(Input.New).Runs + total(Input.Old).Runs);
+  const double StepFraction =
+      static_cast<double>(Input.SinceStep.count()) /
+      static_cast<double>(std::max<std::int64_t>(Input.Elapsed.count(), 1));
+  const double Expected = Calls * StepFraction * Input.ShareBp / 10'000;
+  const double Required = std::min(static_cast<double>(MinRunsToRaise),
+                                   Expected * MinPartOfExpectedRuns);
+  return static_cast<double>(total(Input.NewInStep).Runs) >= Required;
+}
+
+/// The share while it must not rise.
+std::uint32_t heldShare(const fast_rollout_input &Input) {
+  if (Input.ShareBp <= MaxUnprovenShareBp)
+    return Input.ShareBp;
+  for (const ladder_step &Step : Ladder) {
+    const auto From =
+        static_cast<double>(Input.Duration.count()) * Step.FromFraction;
+    if (Step.ShareBp > Input.ShareBp &&
+        static_cast<double>((Input.Elapsed - MaxHoldPeriod).count()) > From)
+      return MaxUnprovenShareBp;
+  }
+  return Input.ShareBp;
+}
+
 } // namespace
 
 std::string versionFault(const route_counts &New, const route_counts &Old,
@@ -217,6 +251,15 @@
         ProposedShareBp > CapacityShareBp * 3 / 2)
       ProposedShareBp = std::max(MaxUnprovenShareBp, CapacityShareBp * 3 / 2);
   }
+  const char *Hold = !Input.PlatformReached   ? "no platform"
+                     : !Input.EvidenceCurrent ? "late evidence"
+                     : !hasRunsInStep(Input)  ? "too few runs in this step"
+                                              : nullptr;
+  if (Hold != nullptr && Input.ShareBp > 0) {
+    Decision.ShareBp = heldShare(Input);
+    Decision.Rule = Hold;
+    return Decision;
+  }
   if (ProposedShareBp > Input.ShareBp && Input.ShareBp > 0 &&
       (isSuspect(Input.New, Input.Old) ||
        isSuspect(Input.NewInStep, Input.Old))) {
--- a/hyssopledge/coordination/fleet_agent.cpp
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -442,7 +442,8 @@
                                          Message.OrderRevision,
                                          Message.Incarnation,
                                          Message.Counts,
-                                         {}});
+                                         {},
+                                         Now});
   case peer_message_kind::Crash:
     if (Hooks.OnCrash)
       Hooks.OnCrash(Message.Sightings);
@@ -483,12 +484,14 @@
 }
 
 bool fleet_agent::isCoordinator(time_point Now) const {
-  if (!IsRelay || !PlatformReached)
+  if (!IsRelay)
     return false;
   for (const auto &[Name, Beacon] : Beacons) {
-    if (Name >= Options.Instance)
-      break;
-    if (Now - Beacon.At < Timing.RelayTimeout && Beacon.PlatformReached)
+    if (Now - Beacon.At >= Timing.RelayTimeout)
+      continue;
+    const bool Lower = Name < Options.Instance;
+    if (Beacon.PlatformReached ? Lower || !PlatformReached
+                               : Lower && !PlatformReached)
       return false;
   }
   return true;
@@ -601,9 +604,15 @@
 }
 
 void fleet_agent::onFollowFailed(const std::string &Reason) {
-  if (PlatformReached)
+  const bool Lost = PlatformReached;
+  if (Lost)
     log("platform_lost", "reason=\"" + Reason + "\"");
   stopFollowing();
+  // Another relay may have to take over decisions.
+  if (Lost && IsRelay) {
+    LastRemoteBeacon = {};
+    sendBeacons(Timers.now(), true);
+  }
   NextFollow = Timers.now() + Timing.PlatformRetryDelay;
 }
 
--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -94,6 +94,8 @@
   /// write registers both the daemon and its upstream.
   std::chrono::milliseconds MaxRegisterDelay{1000};
   std::chrono::milliseconds EvidenceInterval{150};
+  /// Evidence counts as current for about six lost datagrams.
+  std::chrono::milliseconds MaxEvidenceAge{1000};
   /// A newer document that no peer has delivered within this time is read from
   /// the platform.
   std::chrono::milliseconds PeerFetchTimeout{900};
@@ -168,6 +170,7 @@
     std::uint64_t Incarnation = 0; // of the daemon
     route_counts Counts;           // of this incarnation
     route_counts FormerCounts;     // of earlier incarnations
+    state::time_point ReceivedAt{};
   };
 
   //--- Membership -------------------------------------------------------------
@@ -196,6 +199,8 @@
   bool hasLowerRelay(state::time_point Now, bool RequirePlatform) const;
   void sendBeacons(state::time_point Now, bool Always);
   void onBeacon(const peer_message &Message, state::time_point Now);
+  /// The lowest relay among those that reach the platform or, while none does,
+  /// among all. Without the platform it can only roll back.
   bool isCoordinator(state::time_point Now) const;
 
   //--- Document ---------------------------------------------------------------
--- a/hyssopledge/coordination/fleet_agent_rollouts.cpp
+++ b/hyssopledge/coordination/fleet_agent_rollouts.cpp
@@ -114,8 +114,16 @@
     recordDecision(Followed, Record, "ordered", "");
   }
   if (Record.State == rollout_state::Running) {
+    if (Hooks.RouteCounts && Self.Upstream.Service == Service)
+      recordEvidence(Options.Instance, {Self.Upstream.Version,
+                                        Record.OrderRevision,
+                                        Self.Incarnation,
+                                        Hooks.RouteCounts(),
+                                        {},
+                                        Now});
     std::uint32_t NewSlots = 0;
     std::uint32_t OldSlots = 0;
+    std::uint32_t ReportedSlots = 0; // new ones whose daemon reported recently
     bool Cold = false;
     for (const auto &[Name, Member] : Directory.members()) {
       const upstream_record &Upstream = Member.Upstream;
@@ -125,16 +133,15 @@
         continue;
       const bool New = Upstream.Version == Record.ToVersion;
       (New ? NewSlots : OldSlots) += Upstream.Slots;
+      const auto Reported = Evidence.find(Name);
+      if (New && Reported != Evidence.end() &&
+          Reported->second.OrderRevision == Record.OrderRevision &&
+          Now - Reported->second.ReceivedAt <= Timing.MaxEvidenceAge)
+        ReportedSlots += Upstream.Slots;
       Cold = Cold || (New && Upstream.Cold);
     }
     route_counts New;
     route_counts Old;
-    if (Hooks.RouteCounts && Self.Upstream.Service == Service)
-      recordEvidence(Options.Instance, {Self.Upstream.Version,
-                                        Record.OrderRevision,
-                                        Self.Incarnation,
-                                        Hooks.RouteCounts(),
-                                        {}});
     for (const auto &[Name, Row] : Evidence) {
       if (Row.OrderRevision != Record.OrderRevision)
         continue;
@@ -168,7 +175,9 @@
         Cold,
         New,
         NewInStep,
-        Old};
+        Old,
+        2 * ReportedSlots >= NewSlots,
+        PlatformReached};
     const fast_rollout_decision Decision = decideShare(Input);
     if (Decision.State != Record.State || Decision.ShareBp != Record.ShareBp) {
       std::ostringstream Details;
@@ -187,7 +196,8 @@
       recordDecision(Followed, Record, Decision.Rule, Details.str());
     }
   }
-  if (const rollout_record *Latest = Directory.rollout(Service))
+  const rollout_record *Latest = Directory.rollout(Service);
+  if (Latest != nullptr && PlatformReached)
     writeStatus(Followed, *Latest, Now);
 }
 
@@ -267,12 +277,10 @@
   Message.OrderRevision = Rollout->OrderRevision;
   Message.Incarnation = Self.Incarnation;
   Message.Counts = Hooks.RouteCounts();
-  if (Message.Counts.empty())
-    return;
+  // Any relay may become the coordinator, also without the platform.
   for (const auto &[Name, Beacon] : Beacons) {
     const member_record *Member = Directory.find(Name);
-    if (Member != nullptr && Beacon.PlatformReached &&
-        Now - Beacon.At < Timing.RelayTimeout)
+    if (Member != nullptr && Now - Beacon.At < Timing.RelayTimeout)
       sendTo(Member->ControlAddress, Message);
   }
 }
