Count the runs of a step by route; leave a version that gets none

A share that had fallen rose after 0.6 s.

Change: each route with a fifth of the runs needs runs of its own in the step.

--- a/hyssopledge/coordination/fast_rollout_policy.cpp
+++ b/hyssopledge/coordination/fast_rollout_policy.cpp
@@ -31,6 +31,8 @@
 // A step ends only with this part of the runs that the service's calls since
 // the order would have brought in its time, and no more than MinRunsToRaise.
 constexpr double MinPartOfExpectedRuns = 0.25;
+// Routes with a smaller share of the runs need none of their own.
+constexpr double MinRouteShare = 0.2;
 
 //--- Test ---------------------------------------------------------------------
 // A version is bad if its failures exceed the number expected from the old
@@ -163,24 +165,44 @@
          failureRate(NewTotal) > failureRate(total(Old)) + SuspectExcessRate;
 }
 
-/// Whether the new version had enough runs since the share last changed. Limits
-/// of the upstreams or lost calls may leave it few.
+/// Whether the new version had enough runs since the share last changed, on
+/// each route that matters: limits of the upstreams or lost calls may leave it
+/// few, while calls that cost nothing still run.
 bool hasRunsInStep(const fast_rollout_input &Input) {
-  const auto Calls =
-      static_cast<double>(total(Input.New).Runs + total(Input.Old).Runs);
+  std::map<std::string, std::uint64_t> Calls;
+  for (const route_counts *Counts : {&Input.New, &Input.Old})
+    for (const auto &[Route, Count] : *Counts)
+      Calls[Route] += Count.Runs + Count.Unfinished;
+  std::uint64_t AllCalls = 0;
+  for (const auto &[Route, Count] : Calls)
+    AllCalls += Count;
   const double StepFraction =
       static_cast<double>(Input.SinceStep.count()) /
       static_cast<double>(std::max<std::int64_t>(Input.Elapsed.count(), 1));
-  const double Expected = Calls * StepFraction * Input.ShareBp / 10'000;
-  const double Required = std::min(static_cast<double>(MinRunsToRaise),
-                                   Expected * MinPartOfExpectedRuns);
-  return static_cast<double>(total(Input.NewInStep).Runs) >= Required;
+  return std::all_of(Calls.begin(), Calls.end(), [&](const auto &Entry) {
+    if (ratio(Entry.second, AllCalls) < MinRouteShare)
+      return true;
+    const double Expected = static_cast<double>(Entry.second) * StepFraction *
+                            Input.ShareBp / 10'000;
+    const double Required = std::min(static_cast<double>(MinRunsToRaise),
+                                     Expected * MinPartOfExpectedRuns);
+    const auto InStep = Input.NewInStep.find(Entry.first);
+    const std::uint64_t Runs =
+        InStep == Input.NewInStep.end()
+            ? 0
+            : InStep->second.Runs + InStep->second.Unfinished;
+    return static_cast<double>(Runs) >= Required;
+  });
 }
 
-/// The share while it must not rise.
-std::uint32_t heldShare(const fast_rollout_input &Input) {
+/// The share while it must not rise. Starved: calls do not become runs.
+std::uint32_t heldShare(const fast_rollout_input &Input, bool Starved) {
   if (Input.ShareBp <= MaxUnprovenShareBp)
     return Input.ShareBp;
+  // Callers are better served by the old version then.
+  if (Starved && Input.ShareBp == 10'000 &&
+      Input.SinceStep >= MinFullSharePeriod)
+    return MaxUnprovenShareBp;
   for (const ladder_step &Step : Ladder) {
     const auto From =
         static_cast<double>(Input.Duration.count()) * Step.FromFraction;
@@ -251,15 +273,20 @@
         ProposedShareBp > CapacityShareBp * 3 / 2)
       ProposedShareBp = std::max(MaxUnprovenShareBp, CapacityShareBp * 3 / 2);
   }
+  const bool Starved = !hasRunsInStep(Input);
   const char *Hold = !Input.PlatformReached   ? "no platform"
                      : !Input.EvidenceCurrent ? "late evidence"
-                     : !hasRunsInStep(Input)  ? "too few runs in this step"
+                     : Starved                ? "too few runs in this step"
                                               : nullptr;
   if (Hold != nullptr && Input.ShareBp > 0) {
-    Decision.ShareBp = heldShare(Input);
+    Decision.ShareBp = heldShare(Input, Starved);
     Decision.Rule = Hold;
     return Decision;
   }
+  // After a fall the first runs say little.
+  if (Input.ShareBp == MaxUnprovenShareBp &&
+      Input.SinceStep < MinFullSharePeriod)
+    ProposedShareBp = Input.ShareBp;
   if (ProposedShareBp > Input.ShareBp && Input.ShareBp > 0 &&
       (isSuspect(Input.New, Input.Old) ||
        isSuspect(Input.NewInStep, Input.Old))) {
