Count a target daemon that misses the deadline as failed

Its daemon did not answer at all; its callers took that for an unfinished run, which that daemon would report itself, and went on choosing it at an expected latency of 42 ms.

--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -365,8 +365,10 @@
       break;
     case exchange_outcome::Unknown:
       Answer.Outcome = hop_outcome::Unknown;
+      // The target's daemon answers at the deadline even if its upstream does
+      // not, so without an answer the daemon itself or its link is slow.
       Answer.Reason =
-          Result.Error == exchange_error::Timeout ? "timeout" : "peer-cut";
+          Result.Error == exchange_error::Timeout ? "peer-timeout" : "peer-cut";
       break;
     }
     onEnd(std::move(Answer));
@@ -420,8 +422,9 @@
     }
     if (Answer.Outcome == hop_outcome::Ran)
       return respondUpstream(std::move(Answer));
-    respondError(Answer.Reason == "timeout" || Now >= Deadline ? 504 : 502,
-                 OutcomeUnknown, Answer.Reason.c_str());
+    const bool TimedOut = Answer.Reason == "timeout" ||
+                          Answer.Reason == "peer-timeout" || Now >= Deadline;
+    respondError(TimedOut ? 504 : 502, OutcomeUnknown, Answer.Reason.c_str());
   }
 
   static state::placement_outcome placementOutcome(const hop_answer &Answer,
--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -697,6 +697,49 @@
   }
 }
 
+// A daemon whose machine has become slow still answers pings, late.
+TEST_CASE(
+    "a target daemon that does not answer in time gets no more requests") {
+  struct silent_case {
+    const char *Name;
+    http::verb Method;
+    const char *Path;
+  };
+  const silent_case Cases[] = {
+      {"may be repeated", http::verb::get, "/look/1"},
+      {"may not be repeated", http::verb::post, "/book/1"},
+  };
+  for (const silent_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    mesh Mesh({respondingWith("x")}, milliseconds(150));
+    std::atomic<unsigned> Received{0};
+    scripted_upstream Silent([&](upstream_connection &Connection) {
+      while (Connection.read())
+        ++Received;
+    });
+    Mesh.Entry.run([&] {
+      auto Record = Mesh.Targets[0]->record();
+      Record.DataCentre = "dc2";
+      Mesh.Directory.merge(Record);
+      Record.Instance = "target-silent";
+      Record.DataCentre = "dc1";
+      Record.HopAddress = Silent.address();
+      Record.Upstream.Name = "i-silent";
+      Mesh.Directory.merge(Record);
+      Mesh.Entry.Plane->setDirectory(Mesh.Directory);
+    });
+    constexpr unsigned Requests = 12;
+    unsigned Served = 0;
+    for (unsigned I = 0; I < Requests; ++I)
+      Served +=
+          Mesh.call(shopRequest(Case.Method, Case.Path)).result_int() == 200
+              ? 1
+              : 0;
+    CHECK(Received <= state::placement::MinSamples);
+    CHECK(Served >= Requests - state::placement::MinSamples);
+  }
+}
+
 // The announcement of a drain may be late or lost; the responses tell as well.
 TEST_CASE("an upstream that says that it leaves gets no new requests") {
   struct leaving_case {
