--- a/hyssopledge/protocol/mesh_settings.h
+++ b/hyssopledge/protocol/mesh_settings.h
@@ -25,7 +25,7 @@
   std::string MetricsAddress;         // for Prometheus
   std::string PlatformAddress;        // of the platform
   //--- Limits -----------------------------------------------------------------
-  double LinkMbps = 0; // of the instance, both directions; 0: unknown
+  double LinkMbps = 0;           // of the instance, both directions; 0: unknown
   double RetryBudgetRatio = 0.2; // retries per request, over all daemons
   double RetryBudgetSlack = 64; // further retries in a window, over all daemons
   std::chrono::seconds RetryBudgetWindow{10}; // for which retries are counted
