--- a/hyssopledge/coordination/control_agent.cpp
+++ b/hyssopledge/coordination/control_agent.cpp
@@ -385,6 +385,46 @@
   return Peers;
 }
 
+//-----------------------------------------------------------------------------
+// Members
+//-----------------------------------------------------------------------------
+
+std::set<std::string> control_agent::liveAddresses() const {
+  std::set<std::string> Addresses;
+  for (const auto &[Instance, Entry] : Store.members())
+    if (Entry.Member.status() == control::MEMBER_ALIVE)
+      Addresses.insert(Entry.Member.control_address());
+  return Addresses;
+}
+
+bool control_agent::knownToFleet() const {
+  if (holdsRelaySeat() || Tracker.allMembersKnown())
+    return true;
+  const std::set<std::string> Known = liveAddresses();
+  return std::any_of(
+      SeatHolders.begin(), SeatHolders.end(),
+      [&Known](const std::string &Holder) { return Known.contains(Holder); });
+}
+
+std::vector<std::string> control_agent::relayAddresses() const {
+  std::vector<std::string> LocalRelays;
+  std::vector<std::string> RemoteRelays;
+  const std::string OwnPrefix = "relay/" + Options.DataCentre + "/";
+  for (const auto &[Key, Entry] : Store.records()) {
+    control::seat Value;
+    if (Key.first != control::RECORD_SEAT ||
+        !Key.second.starts_with("relay/") ||
+        !Value.ParseFromString(Entry.Record.payload()))
+      continue;
+    const control::member *Member = Store.findMember(Value.instance());
+    if (Member == nullptr || Member->status() != control::MEMBER_ALIVE)
+      continue;
+    (Key.second.starts_with(OwnPrefix) ? LocalRelays : RemoteRelays)
+        .push_back(Member->control_address());
+  }
+  return LocalRelays.empty() ? RemoteRelays : LocalRelays;
+}
+
 //-----------------------------------------------------------------------------
 // Calls of other daemons
 //-----------------------------------------------------------------------------
--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -508,18 +508,7 @@
     "an unresponsive target daemon is skipped after one connect timeout") {
   const unresponsive_address Dead;
   mesh Mesh({respondingWith("x")});
-  Mesh.Entry.run([&] {
-    // The dead target is in the own data centre and is tried first.
-    auto Record = Mesh.Targets[0]->record();
-    Record.DataCentre = "dc2";
-    Mesh.Directory.merge(Record);
-    Record.Instance = "target-dead";
-    Record.DataCentre = "dc1";
-    Record.HopAddress = Dead.address();
-    Record.Upstream.Name = "i-dead";
-    Mesh.Directory.merge(Record);
-    Mesh.Entry.Plane->setDirectory(Mesh.Directory);
-  });
+  Mesh.addPreferredTarget("dead", Dead.address());
   for (const char *Path : {"/book/1", "/book/2", "/book/3"}) {
     const auto Started = std::chrono::steady_clock::now();
     CHECK(Mesh.call(shopRequest(http::verb::post, Path, "b")).result_int() ==
@@ -550,17 +539,7 @@
       while (Connection.read())
         ++Received;
     });
-    Mesh.Entry.run([&] {
-      auto Record = Mesh.Targets[0]->record();
-      Record.DataCentre = "dc2";
-      Mesh.Directory.merge(Record);
-      Record.Instance = "target-silent";
-      Record.DataCentre = "dc1";
-      Record.HopAddress = Silent.address();
-      Record.Upstream.Name = "i-silent";
-      Mesh.Directory.merge(Record);
-      Mesh.Entry.Plane->setDirectory(Mesh.Directory);
-    });
+    Mesh.addPreferredTarget("silent", Silent.address());
     constexpr unsigned Requests = 12;
     unsigned Served = 0;
     for (unsigned I = 0; I < Requests; ++I)
@@ -829,17 +808,7 @@
       Connection.close();
     });
     if (Case.FirstTargetCloses)
-      Mesh.Entry.run([&] {
-        auto Record = Mesh.Targets[0]->record();
-        Record.DataCentre = "dc2";
-        Mesh.Directory.merge(Record);
-        Record.Instance = "target-closing";
-        Record.DataCentre = "dc1";
-        Record.HopAddress = Closing.address();
-        Record.Upstream.Name = "i-closing";
-        Mesh.Directory.merge(Record);
-        Mesh.Entry.Plane->setDirectory(Mesh.Directory);
-      });
+      Mesh.addPreferredTarget("closing", Closing.address());
     const std::string Body(Case.BodyBytes, 'b');
     CHECK(Mesh.call(shopRequest(http::verb::post, "/book/1", Body))
               .result_int() == Case.Status);
--- a/tests/support/mesh_fixture.h
+++ b/tests/support/mesh_fixture.h
@@ -152,6 +152,22 @@
   http_response call(const http_request &Request) {
     return callOnce(Entry.address(), Request);
   }
+  /// Adds a daemon that is tried first: in the entry's data centre, which the
+  /// first target leaves.
+  void addPreferredTarget(const std::string &Name,
+                          const std::string &HopAddress) {
+    Entry.run([&] {
+      auto Record = Targets[0]->record();
+      Record.DataCentre = "dc2";
+      Directory.merge(Record);
+      Record.Instance = "target-" + Name;
+      Record.DataCentre = "dc1";
+      Record.HopAddress = HopAddress;
+      Record.Upstream.Name = "i-" + Name;
+      Directory.merge(Record);
+      Entry.Plane->setDirectory(Directory);
+    });
+  }
 
   coordination::fleet_directory Directory;
   std::vector<std::unique_ptr<scripted_upstream>> Upstreams;
