--- a/review/5/run.sh
+++ b/review/3/run.sh
@@ -5,8 +5,8 @@
 export REVIEW_ROOT=$(cd "$here/../.." && pwd)
 export REVIEW_LOGS=$here/logs
 rm -rf "$REVIEW_LOGS" && mkdir -p "$REVIEW_LOGS" || exit 2
-[ -x "$REVIEW_ROOT/target/apps/hyssop_mesh/hyssop_mesh" ] && [ -x "$here/../build/case-5" ] || exit 2
-"$here/../build/case-5" "$here/record.txt"
+[ -x "$REVIEW_ROOT/target/apps/hyssop_mesh/hyssop_mesh" ] && [ -x "$here/../build/case-3" ] || exit 2
+"$here/../build/case-3" "$here/record.txt"
 status=$?
 [ "$status" -le 2 ] || exit 2
 exit "$status"
--- a/review/standin/mesh.hpp
+++ b/review/standin/mesh.hpp
@@ -16,6 +16,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <deque>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
@@ -659,6 +660,7 @@
   std::string Target; // its instanceId
   std::string Service;
   std::string CallerService;
+  bool Failed = false; // answered with 500
 };
 
 /// Runs of all targets, in the order of their begin.
@@ -693,6 +695,9 @@
   /// A request whose path contains this ends the target as it begins to run.
   std::string CrashPath;
   milliseconds DownAfterCrash{2000};
+  /// A bad version: while the target has begun more than this many requests in
+  /// the last second, every second run fails with 500. 0: never.
+  std::size_t FailsAbovePerSecond = 0;
 };
 
 class target {
@@ -842,8 +847,9 @@
           return;
         continue;
       }
+      const bool Fails = failsUnderLoad();
       Runs.add({clock_type::now(), Id, Path, Name, Options.Service,
-                Request.field("caller-service")});
+                Request.field("caller-service"), Fails});
       Record.line("target %s (%s) runs %s %s, caller %s", Name.c_str(),
                   Options.Service.c_str(), Id.c_str(), Path.c_str(),
                   Request.field("caller-service").c_str());
@@ -862,7 +868,7 @@
       const std::string Load = std::to_string(Running.load()) + ",0," +
                                std::to_string(Options.Slots);
       if (!Open.write(
-              response(200,
+              response(Fails ? 500 : 200,
                        Echo + "Response-Signature: sig." + Name + "." + Id +
                            "\r\nServer-Load: " + Load + "\r\n",
                        Options.Service + " " + Options.Version + " " + Path)))
@@ -870,6 +876,17 @@
     }
   }
 
+  bool failsUnderLoad() {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    const time_point Now = clock_type::now();
+    Recent.push_back(Now);
+    while (Recent.front() < Now - std::chrono::seconds(1))
+      Recent.pop_front();
+    return Options.FailsAbovePerSecond > 0 &&
+           Recent.size() > Options.FailsAbovePerSecond &&
+           ++RunsUnderLoad % 2 == 0;
+  }
+
   void work(connection &Open, const message &) {
     const time_point End = clock_type::now() + Options.Work;
     while (clock_type::now() < End && !Crashed && !Ended) {
@@ -889,6 +906,8 @@
   std::atomic<bool> Crashed{false};
   std::atomic<int> Running{0};
   time_point CrashedAt{};
+  std::deque<time_point> Recent; // begins of runs in the last second
+  std::size_t RunsUnderLoad = 0;
   std::thread Beats;
   server Server;
 };
