--- a/hyssopledge/coordination/platform_store.h
+++ b/hyssopledge/coordination/platform_store.h
@@ -94,7 +94,8 @@
                          handler<std::chrono::seconds> Handler) = 0;
   virtual void revokeLease(std::int64_t Lease, handler<bool> Handler) = 0;
   /// Delivers events from StartRevision on. A failure ends the watch; read the
-  /// keys before starting another one.
+  /// keys before starting another one. A platform that stops responding is
+  /// reported as a failure within some seconds, also if no event is due.
   virtual std::unique_ptr<platform_watch> watch(const std::string &Key,
                                                 bool Prefix,
                                                 std::int64_t StartRevision,
