a relay reaches the platform only once it knows the rollout states

If that read failed, it was never repeated, and the relay, as coordinator, decided nothing until it began to follow the platform again.

Test, failing before: fleet_agent_test/"a rollout is decided although the statuses can't be read at first" (no decision and no status in 2 s).

--- a/hyssopledge/coordination/fleet_agent.cpp
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -635,12 +635,6 @@
       onInput(Entry);
     if (!Following || Epoch != FollowEpoch)
       return;
-    if (!std::exchange(PlatformReached, true)) {
-      log("platform_reached",
-          "revision=" + std::to_string(Read.value().Revision));
-      // Prevents the next members in order from taking over as well.
-      sendBeacons(Timers.now(), true);
-    }
     readStatuses();
     watchInput(Read.value().Revision);
   };
--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -217,6 +217,7 @@
   //--- Rollouts ---------------------------------------------------------------
   void onOrder(const platform_entry &Entry);
   void readStatuses();
+  void onStatuses(const platform_read &Read);
   void updateRollouts(state::time_point Now);
   void updateRollout(followed_order &Followed, state::time_point Now);
   void recordDecision(followed_order &Followed, rollout_record Record,
--- a/hyssopledge/coordination/fleet_agent_rollouts.cpp
+++ b/hyssopledge/coordination/fleet_agent_rollouts.cpp
@@ -52,48 +52,54 @@
 }
 
 /// Reads the written states of finished rollouts, for daemons that start
-/// without a peer that knows them.
+/// without a peer that knows them. Without these states a relay can't decide,
+/// so it doesn't reach the platform before they are read.
 void fleet_agent::readStatuses() {
   Platform.get(Dialect.statusPrefix(), true,
-               [this, Alive = Alive](const state::result<platform_read> &Read) {
-                 if (!*Alive)
+               [this, Alive = Alive,
+                Epoch = FollowEpoch](const state::result<platform_read> &Read) {
+                 if (!*Alive || Epoch != FollowEpoch || !Following)
                    return;
-                 if (Read.has_error()) {
-                   log("status_read_failed",
-                       "reason=\"" + Read.error().text() + "\"");
-                   return;
-                 }
-                 StatusesRead = true;
-                 bool Changed = false;
-                 for (const platform_entry &Entry : Read.value().Entries) {
-                   auto Status = Dialect.parseStatus(Entry.Key, Entry.Value);
-                   if (Status.has_error()) {
-                     log("status_ignored", "key=" + Entry.Key + " reason=\"" +
-                                               Status.error().text() + "\"");
-                     continue;
-                   }
-                   rollout_record &Record = Status.value();
-                   StatusRevisions[Record.Service] =
-                       static_cast<std::uint64_t>(Entry.ModRevision);
-                   const auto Followed = Orders.find(Record.Service);
-                   if (Followed == Orders.end() ||
-                       Followed->second.Order.ToVersion != Record.ToVersion ||
-                       static_cast<std::uint64_t>(Entry.ModRevision) <
-                           Followed->second.Revision)
-                     continue;
-                   Followed->second.Written = Record.State;
-                   if (Record.State == rollout_state::Running)
-                     continue;
-                   Record.OrderRevision = Followed->second.Revision;
-                   Record.ShareBp =
-                       Record.State == rollout_state::Completed ? 10'000 : 0;
-                   Changed = Directory.merge(Record) || Changed;
-                 }
-                 if (Changed && Hooks.OnDirectoryChanged)
-                   Hooks.OnDirectoryChanged();
+                 if (Read.has_error())
+                   return onFollowFailed("statuses: " + Read.error().text());
+                 onStatuses(Read.value());
                });
 }
 
+void fleet_agent::onStatuses(const platform_read &Read) {
+  StatusesRead = true;
+  bool Changed = false;
+  for (const platform_entry &Entry : Read.Entries) {
+    auto Status = Dialect.parseStatus(Entry.Key, Entry.Value);
+    if (Status.has_error()) {
+      log("status_ignored",
+          "key=" + Entry.Key + " reason=\"" + Status.error().text() + "\"");
+      continue;
+    }
+    rollout_record &Record = Status.value();
+    const auto Revision = static_cast<std::uint64_t>(Entry.ModRevision);
+    StatusRevisions[Record.Service] = Revision;
+    const auto Followed = Orders.find(Record.Service);
+    if (Followed == Orders.end() ||
+        Followed->second.Order.ToVersion != Record.ToVersion ||
+        Revision < Followed->second.Revision)
+      continue;
+    Followed->second.Written = Record.State;
+    if (Record.State == rollout_state::Running)
+      continue;
+    Record.OrderRevision = Followed->second.Revision;
+    Record.ShareBp = Record.State == rollout_state::Completed ? 10'000 : 0;
+    Changed = Directory.merge(Record) || Changed;
+  }
+  if (Changed && Hooks.OnDirectoryChanged)
+    Hooks.OnDirectoryChanged();
+  if (!std::exchange(PlatformReached, true)) {
+    log("platform_reached", "revision=" + std::to_string(Read.Revision));
+    // Prevents the next members in order from taking over as well.
+    sendBeacons(Timers.now(), true);
+  }
+}
+
 void fleet_agent::updateRollouts(time_point Now) {
   if (!StatusesRead)
     return;
--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -557,6 +557,25 @@
   }
 }
 
+// A relay whose only read of the statuses had failed still counted as the
+// coordinator, and decided nothing.
+TEST_CASE("a rollout is decided although the statuses can't be read at first") {
+  fleet Fleet;
+  Fleet.put("op/config", documentText(1));
+  Fleet.Platform.FailReadsOf = Fleet.Codec.statusPrefix();
+  for (const std::string &Name : Six)
+    Fleet.add(Name);
+  Fleet.run(milliseconds(4000));
+  Fleet.Platform.FailReadsOf.clear();
+  Fleet.serve("a-2", "v1");
+  Fleet.serve("a-3", "v2");
+  Fleet.put("op/rollout/pages",
+            R"({"service":"pages","toVersion":"v2","durationS":16})");
+  Fleet.run(milliseconds(2000));
+  CHECK(Fleet.Nodes.at("b-2")->Agent->directory().rollout("pages") != nullptr);
+  CHECK(Fleet.Platform.entries().contains("status/rollout/pages"));
+}
+
 // While the platform is away, no relay can write a state, but calls go on.
 TEST_CASE("a version that turns bad during an outage of the platform gets no "
           "more requests") {
--- a/tests/support/fake_platform.h
+++ b/tests/support/fake_platform.h
@@ -25,6 +25,7 @@
   //--- Faults -----------------------------------------------------------------
   // The counters apply to the next commits; those fail with Timeout.
   bool Down = false;          // calls have no effect and fail with Unavailable
+  std::string FailReadsOf;    // reads of this prefix fail; empty: none
   unsigned LoseResponses = 0; // commits take effect
   unsigned DropCommits = 0;   // commits have no effect
   unsigned DelayCommits = 0;  // commits take effect at applyDelayed()
@@ -80,6 +81,9 @@
     if (Down)
       return respond(Handler, state::failure(state::errc::Unavailable,
                                              "platform is down"));
+    if (!FailReadsOf.empty() && Key == FailReadsOf)
+      return respond(Handler,
+                     state::failure(state::errc::Timeout, "no answer"));
     expireLeases();
     coordination::platform_read Read;
     Read.Revision = Revision;
