each relay makes orders known, so that an undecided version gets nothing

Cause: only the coordinator made a record of a rollout. The relays that had read the order, in other data centres, left that to it, and without a record a new version is used like any other.

Change: each relay that reads an order sends a record of step 0 with share 0 to all members. The coordinator goes on from it. A record of a decision always has a higher step, so a late announcement changes nothing.

--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -216,6 +216,7 @@
 
   //--- Rollouts ---------------------------------------------------------------
   void onOrder(const platform_entry &Entry);
+  void announceOrders();
   void readStatuses();
   void onStatuses(const platform_read &Read);
   void updateRollouts(state::time_point Now);
--- a/hyssopledge/coordination/fleet_agent_rollouts.cpp
+++ b/hyssopledge/coordination/fleet_agent_rollouts.cpp
@@ -49,6 +49,28 @@
   log("order_seen", "service=" + Followed.Order.Service +
                         " to_version=" + Followed.Order.ToVersion +
                         " revision=" + std::to_string(Revision));
+  if (PlatformReached)
+    announceOrders();
+}
+
+/// Makes the orders known to all members, so that they send nothing to a new
+/// version before the coordinator has decided. Any relay does so, since the
+/// coordinator may be the one that the platform does not respond to.
+void fleet_agent::announceOrders() {
+  peer_message Message = message(peer_message_kind::Records);
+  for (const auto &[Service, Followed] : Orders) {
+    rollout_record Record;
+    Record.Service = Service;
+    Record.ToVersion = Followed.Order.ToVersion;
+    Record.OrderRevision = Followed.Revision;
+    if (Directory.merge(Record))
+      Message.Rollouts.push_back(std::move(Record));
+  }
+  if (Message.Rollouts.empty())
+    return;
+  broadcast(Message);
+  if (Hooks.OnDirectoryChanged)
+    Hooks.OnDirectoryChanged();
 }
 
 /// Reads the written states of finished rollouts, for daemons that start
@@ -97,6 +119,7 @@
     log("platform_reached", "revision=" + std::to_string(Read.Revision));
     // Prevents the next members in order from taking over as well.
     sendBeacons(Timers.now(), true);
+    announceOrders();
   }
 }
 
@@ -110,15 +133,9 @@
 void fleet_agent::updateRollout(followed_order &Followed, time_point Now) {
   const std::string &Service = Followed.Order.Service;
   const rollout_record *Known = Directory.rollout(Service);
-  rollout_record Record;
-  if (Known != nullptr && Known->OrderRevision == Followed.Revision) {
-    Record = *Known;
-  } else {
-    Record.Service = Service;
-    Record.ToVersion = Followed.Order.ToVersion;
-    Record.OrderRevision = Followed.Revision;
-    recordDecision(Followed, Record, "ordered", "");
-  }
+  if (Known == nullptr || Known->OrderRevision != Followed.Revision)
+    return; // a member knows a later order
+  rollout_record Record = *Known;
   if (Record.State == rollout_state::Running) {
     if (Hooks.RouteCounts && Self.Upstream.Service == Service)
       recordEvidence(Options.Instance, {Self.Upstream.Version,
@@ -202,9 +219,8 @@
       recordDecision(Followed, Record, Decision.Rule, Details.str());
     }
   }
-  const rollout_record *Latest = Directory.rollout(Service);
-  if (Latest != nullptr && PlatformReached)
-    writeStatus(Followed, *Latest, Now);
+  if (PlatformReached)
+    writeStatus(Followed, *Directory.rollout(Service), Now);
 }
 
 void fleet_agent::recordDecision(followed_order &Followed,
--- a/tests/store_outage_test.cpp
+++ b/tests/store_outage_test.cpp
@@ -9,6 +9,7 @@
 #include "platform/operator_codec.h"
 #include "support/kv_standin.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <chrono>
@@ -16,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 using namespace hyssopledge;
@@ -27,6 +29,7 @@
 // disturbed.
 constexpr milliseconds ApplyTime{2000};
 constexpr milliseconds StretchTime{5000};
+constexpr milliseconds RollbackTime{5000}; // rollbackMs
 
 std::string documentText(int Version) {
   return R"({"version":)" + std::to_string(Version) +
@@ -76,6 +79,33 @@
     return true;
   }
 
+  /// Whether no daemon sends anything to the version.
+  bool allHold(const std::string &Version) const {
+    for (const auto &[Name, Node] : Nodes) {
+      const auto Split = split(*Node);
+      if (Split.ToVersion != Version || Split.ShareBp != 0)
+        return false;
+    }
+    return true;
+  }
+  /// The smallest share of the new version at a daemon, in 1/10,000.
+  std::uint32_t shareOfAll() const {
+    std::uint32_t Share = 10'000;
+    for (const auto &[Name, Node] : Nodes)
+      Share = std::min(Share, split(*Node).ShareBp);
+    return Share;
+  }
+
+  void serve(const std::string &Name, const std::string &Version) {
+    coordination::upstream_record Upstream;
+    Upstream.Name = "i-" + Name;
+    Upstream.Service = "pages";
+    Upstream.Version = Version;
+    Upstream.Slots = 12;
+    Upstream.State = coordination::upstream_state::Serving;
+    Nodes.at(Name)->Agent->setUpstream(Upstream);
+  }
+
   void runFor(milliseconds Time) {
     Context.restart();
     Context.run_for(Time);
@@ -94,6 +124,10 @@
   std::map<std::string, std::unique_ptr<node>> Nodes;
 
 private:
+  static coordination::traffic_split split(const node &Node) {
+    return coordination::trafficSplit(Node.Agent->directory().rollout("pages"));
+  }
+
   void add(const std::string &Name) {
     auto Node = std::make_unique<node>();
     Node->Fleet = this;
@@ -143,3 +177,34 @@
                          ApplyTime + StretchTime));
   }
 }
+
+// The coordinator kept its office while the store gave it no response, and no
+// other daemon decided. Until a decision, a version that nobody had released
+// got the requests of a whole upstream.
+TEST_CASE("an order is obeyed in time while the store does not respond to the "
+          "coordinator") {
+  struct order_case {
+    const char *Name;
+    std::set<std::string> Silent;
+  };
+  const order_case Cases[] = {
+      {"no fault", {}},
+      {"the coordinator gets no response", {"a-1"}},
+      {"no daemon of its data centre gets a response", {"a-1", "a-2", "a-3"}},
+  };
+  for (const order_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    fleet Fleet;
+    REQUIRE(Fleet.allHave(1));
+    Fleet.serve("a-2", "v1");
+    Fleet.serve("b-2", "v1");
+    Fleet.runFor(milliseconds(200));
+    Fleet.Store.withholdFrom(Case.Silent);
+    Fleet.Store.put("op/rollout/pages",
+                    R"({"service":"pages","toVersion":"v2","durationS":16})");
+    CHECK(Fleet.runUntil([&] { return Fleet.allHold("v2"); }, ApplyTime));
+    Fleet.serve("a-3", "v2");
+    Fleet.serve("b-3", "v2");
+    CHECK(Fleet.runUntil([&] { return Fleet.shareOfAll() > 0; }, RollbackTime));
+  }
+}
