a version that appears without an order is held back

Cause: an entry daemon without a record of a rollout uses the upstreams of all versions alike. Relays make an order known as soon as they read it, but when the store responds to none of them, that comes 3.5 s later or more, and the targets start 1.5 s after the order.

Change: coordination/version_hold. A version that appears beside one that has been known for 2 s or longer gets nothing for 5 s, unless no other upstream can take the request or a record names it.

--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -212,10 +212,10 @@
     const service_targets &Targets = ServiceEntry->second;
     chooseVersion(Targets.VersionSplit);
     std::vector<state::placement_candidate> Candidates =
-        Plane.candidates(Targets, NewVersion, !NewVersion);
+        Plane.candidates(Targets, NewVersion, !NewVersion, Now);
     if (Candidates.empty() && NewVersion) {
       NewVersion = false;
-      Candidates = Plane.candidates(Targets, false, true);
+      Candidates = Plane.candidates(Targets, false, true, Now);
     }
     state::placement_query Query;
     Query.Route = Route->Name;
@@ -477,7 +477,7 @@
       Backlog = std::max(
           Backlog,
           Plane.Placement.shortestWait(
-              Plane.candidates(ServiceEntry->second, false, true), Now));
+              Plane.candidates(ServiceEntry->second, false, true, Now), Now));
     refuse(Reason, Backlog);
   }
 
@@ -681,6 +681,7 @@
 
 void mesh_plane::setDirectory(const coordination::fleet_directory &Directory) {
   Services.clear();
+  VersionHold.update(Directory, boot_clock::now());
   std::vector<std::string> KnownUpstreams;
   std::unordered_map<std::string, std::uint64_t> StillLeaving;
   for (const auto &[Name, Member] : Directory.members()) {
@@ -698,7 +699,8 @@
     Services[Upstream.Service].Targets.push_back(
         {Upstream.Name, Name, Member.HopAddress, Upstream.Version,
          Member.DataCentre, Upstream.Slots, Upstream.StartUnixMs,
-         Member.LinkMbps});
+         Member.LinkMbps,
+         VersionHold.heldUntil(Upstream.Service, Upstream.Version)});
     KnownUpstreams.push_back(Upstream.Name);
   }
   LeavingUpstreams = std::move(StillLeaving);
@@ -728,8 +730,9 @@
 
 std::vector<state::placement_candidate>
 mesh_plane::candidates(const service_targets &Service, bool NewVersion,
-                       bool OldVersion) const {
+                       bool OldVersion, state::time_point Now) const {
   std::vector<state::placement_candidate> Candidates;
+  std::vector<state::placement_candidate> HeldCandidates;
   for (const target &Target : Service.Targets) {
     const bool IsNewVersion = !Service.VersionSplit.ToVersion.empty() &&
                               Target.Version == Service.VersionSplit.ToVersion;
@@ -742,9 +745,10 @@
     Candidate.Slots = Target.Slots;
     const auto Peer = Peers.find(Target.Instance);
     Candidate.Reachable = Peer == Peers.end() || Peer->second.Reachable;
-    Candidates.push_back(std::move(Candidate));
+    (Target.HeldUntil > Now ? HeldCandidates : Candidates)
+        .push_back(std::move(Candidate));
   }
-  return Candidates;
+  return Candidates.empty() ? HeldCandidates : Candidates;
 }
 
 void mesh_plane::onCallerRequest(std::shared_ptr<server_exchange> Caller) {
--- a/hyssopledge/transport/mesh_plane.h
+++ b/hyssopledge/transport/mesh_plane.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "hyssopledge/coordination/fleet_directory.h"
+#include "hyssopledge/coordination/version_hold.h"
 #include "hyssopledge/state/placement.h"
 #include "hyssopledge/state/random.h"
 #include "hyssopledge/state/retry_breaker.h"
@@ -96,6 +97,8 @@
     std::uint32_t Slots = 0;
     std::uint64_t StartUnixMs = 0; // of the upstream
     double LinkMbps = 0;           // of its instance; 0: unknown
+    /// Until then it gets calls only if no other upstream can take them.
+    state::time_point HeldUntil{};
   };
   struct service_targets {
     std::vector<target> Targets;
@@ -120,8 +123,8 @@
   /// announcement of its own daemon may come later or not at all.
   void onUpstreamLeaving(const target &Leaving);
   std::vector<state::placement_candidate>
-  candidates(const service_targets &Service, bool NewVersion,
-             bool OldVersion) const;
+  candidates(const service_targets &Service, bool NewVersion, bool OldVersion,
+             state::time_point Now) const;
 
   boost::asio::io_context &Context;
   mesh_plane_options Options;
@@ -141,6 +144,7 @@
   state::retry_breaker RetryBreaker;
   std::shared_ptr<const state::route_table> Table;
   std::unordered_map<std::string, service_targets> Services;
+  coordination::version_hold VersionHold;
   /// Traffic splits by route name and version shares by service.
   std::unordered_map<std::string, state::weighted_round_robin> SplitRoundRobin;
   std::unordered_map<std::string, state::weighted_round_robin>
--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -295,6 +295,48 @@
   }
 }
 
+// A version whose order had not arrived got requests like any other.
+TEST_CASE("a version without an order gets requests only if no other can") {
+  mesh Mesh({respondingWith("v1"), respondingWith("v2")});
+  auto Old = Mesh.Targets[0]->record();
+  Old.Upstream.Version = "v1";
+  auto New = Mesh.Targets[1]->record();
+  New.Upstream.State = upstream_state::None;
+  const auto Set = [&] {
+    Mesh.Directory.merge(Old);
+    Mesh.Directory.merge(New);
+    Mesh.Entry.run([&] { Mesh.Entry.Plane->setDirectory(Mesh.Directory); });
+  };
+  const auto CallsToNew = [&] {
+    int Count = 0;
+    for (int I = 0; I < 20; ++I)
+      Count += Mesh.call(shopRequest(http::verb::get, "/look/1")).body() == "v2"
+                   ? 1
+                   : 0;
+    return Count;
+  };
+  Set();
+  std::this_thread::sleep_for(milliseconds(2100)); // all that serve are known
+  New = Mesh.Targets[1]->record();
+  New.Upstream.Version = "v2";
+  Set();
+  CHECK(CallsToNew() == 0);
+  Old = Mesh.Targets[0]->record();
+  Old.Upstream.State = upstream_state::Gone;
+  Set();
+  CHECK(CallsToNew() == 20);
+  Old = Mesh.Targets[0]->record();
+  Old.Upstream.Version = "v1";
+  coordination::rollout_record Rollout;
+  Rollout.Service = "pages";
+  Rollout.ToVersion = "v2";
+  Rollout.OrderRevision = 7;
+  Rollout.ShareBp = 5000;
+  Mesh.Directory.merge(Rollout);
+  Set();
+  CHECK(CallsToNew() == 10);
+}
+
 TEST_CASE("pipelined requests run concurrently, responses keep their order") {
   one_shot_event Second;
   mesh Mesh({[&](upstream_connection &Connection) {
