a rollout step with many routes needs runs, too

Cause: a step asked for runs only on routes with a fifth of the calls or more. With 350 routes there is none, so it asked for nothing.

Change: a step also needs enough runs in all, by the same rule as each route.

Test, failing before: fleet_records_test/"a step needs evidence of its own", row "many routes, no run at the whole share" (completed; now back to 5 %).

Measured: fleet_records_test and fleet_agent_test pass.

--- a/hyssopledge/coordination/fast_rollout_policy.cpp
+++ b/hyssopledge/coordination/fast_rollout_policy.cpp
@@ -165,9 +165,9 @@
          failureRate(NewTotal) > failureRate(total(Old)) + SuspectExcessRate;
 }
 
-/// Whether the new version had enough runs since the share last changed, on
-/// each route that matters: limits of the upstreams or lost calls may leave it
-/// few, while calls that cost nothing still run.
+/// Whether the new version had enough runs since the share last changed, in all
+/// and on each route that matters: limits of the upstreams or lost calls may
+/// leave it few, while calls that cost nothing still run.
 bool hasRunsInStep(const fast_rollout_input &Input) {
   std::map<std::string, std::uint64_t> Calls;
   for (const route_counts *Counts : {&Input.New, &Input.Old})
@@ -179,19 +179,26 @@
   const double StepFraction =
       static_cast<double>(Input.SinceStep.count()) /
       static_cast<double>(std::max<std::int64_t>(Input.Elapsed.count(), 1));
+  const auto IsEnough = [&](std::uint64_t RunsInStep, std::uint64_t CallCount) {
+    const double Expected =
+        static_cast<double>(CallCount) * StepFraction * Input.ShareBp / 10'000;
+    return static_cast<double>(RunsInStep) >=
+           std::min(static_cast<double>(MinRunsToRaise),
+                    Expected * MinPartOfExpectedRuns);
+  };
+  std::uint64_t AllRunsInStep = 0;
+  for (const auto &[Route, Count] : Input.NewInStep)
+    AllRunsInStep += Count.Runs + Count.Unfinished;
+  if (!IsEnough(AllRunsInStep, AllCalls))
+    return false;
   return std::all_of(Calls.begin(), Calls.end(), [&](const auto &Entry) {
     if (ratio(Entry.second, AllCalls) < MinRouteShare)
       return true;
-    const double Expected = static_cast<double>(Entry.second) * StepFraction *
-                            Input.ShareBp / 10'000;
-    const double Required = std::min(static_cast<double>(MinRunsToRaise),
-                                     Expected * MinPartOfExpectedRuns);
     const auto InStep = Input.NewInStep.find(Entry.first);
-    const std::uint64_t Runs =
-        InStep == Input.NewInStep.end()
-            ? 0
-            : InStep->second.Runs + InStep->second.Unfinished;
-    return static_cast<double>(Runs) >= Required;
+    return IsEnough(InStep == Input.NewInStep.end()
+                        ? 0
+                        : InStep->second.Runs + InStep->second.Unfinished,
+                    Entry.second);
   });
 }
 
--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -55,6 +55,16 @@
   return {{"page", {Runs, Failures, (Runs - Failures) * MeanMs}}};
 }
 
+/// Spreads the runs evenly over 50 routes.
+route_counts manyRoutes(std::uint64_t Runs) {
+  constexpr std::uint64_t Routes = 50;
+  route_counts Counts;
+  for (std::uint64_t I = 0; I < Routes; ++I)
+    Counts["page-" + std::to_string(I)] = {Runs / Routes, 0,
+                                           Runs / Routes * 100};
+  return Counts;
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -473,6 +483,7 @@
     bool PlatformReached;
     rollout_state State;
     std::uint32_t MaxShareBp;
+    route_counts Old = counts(500, 2, 100);
   };
   const auto Running = rollout_state::Running;
   const evidence_case Cases[] = {
@@ -506,6 +517,19 @@
        true,
        Running,
        2000},
+      {"many routes, no run at the whole share",
+       13'500,
+       10'000,
+       manyRoutes(300),
+       {},
+       true,
+       true,
+       Running,
+       500,
+       manyRoutes(500)},
+      {"many routes, enough runs at the whole share", 13'500, 10'000,
+       manyRoutes(900), manyRoutes(300), true, true, rollout_state::Completed,
+       10'000, manyRoutes(500)},
       {"late evidence at a fifth", 6500, 2000, counts(60, 0, 100),
        counts(30, 0, 100), false, true, Running, 2000},
       {"no platform, bad", 6500, 2000, counts(60, 30, 100), counts(30, 30, 100),
@@ -513,7 +537,6 @@
   };
   for (const evidence_case &Case : Cases) {
     CAPTURE(std::string(Case.Name));
-    const route_counts Old = counts(500, 2, 100);
     fast_rollout_input Input{milliseconds(Case.ElapsedMs),
                              milliseconds(16'000),
                              milliseconds(3000),
@@ -523,7 +546,7 @@
                              false,
                              Case.New,
                              Case.NewInStep,
-                             Old};
+                             Case.Old};
     Input.EvidenceCurrent = Case.EvidenceCurrent;
     Input.PlatformReached = Case.PlatformReached;
     const fast_rollout_decision Decision = decideShare(Input);
