messages between daemons are split at the size of a datagram

Cause: the counts of all routes went in one datagram. The receiver reads 2,048 bytes, so longer ones were cut off and refused: 218 times datagram_ignored at the coordinator, from a second after the order on.

Evidence has the counts that changed since the last one and 40 others in turn; receivers keep the counts of routes that a datagram doesn't name. On the same path, split as well: crash sightings (lost from about 50 requests on), several rollouts in one message, full syncs with long names.

The fixture of fleet_agent_test now checks the size of every datagram.

--- a/hyssopledge/coordination/fast_rollout_policy.h
+++ b/hyssopledge/coordination/fast_rollout_policy.h
@@ -23,6 +23,8 @@
   /// caller before a response; not included in Runs.
   std::uint64_t Unfinished = 0;
   std::uint64_t UnfinishedMs = 0; // their time until then
+
+  bool operator==(const run_counts &) const = default;
 };
 using route_counts = std::map<std::string, run_counts>; // by route
 
--- a/hyssopledge/coordination/fleet_agent.cpp
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -72,14 +72,16 @@
 
 void fleet_agent::sendTo(const std::string &ControlAddress,
                          const peer_message &Message) {
-  Peers.send(ControlAddress, encodePeerMessage(Message));
+  for (const std::string &Datagram : encodeDatagrams(Message))
+    Peers.send(ControlAddress, Datagram);
 }
 
 void fleet_agent::broadcast(const peer_message &Message) {
-  const std::string Datagram = encodePeerMessage(Message);
+  const std::vector<std::string> Datagrams = encodeDatagrams(Message);
   for (const auto &[Name, Member] : Directory.members())
     if (Name != Options.Instance && !Member.Left)
-      Peers.send(Member.ControlAddress, Datagram);
+      for (const std::string &Datagram : Datagrams)
+        Peers.send(Member.ControlAddress, Datagram);
 }
 
 void fleet_agent::announceSelf() {
--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -94,6 +94,9 @@
   /// write registers both the daemon and its upstream.
   std::chrono::milliseconds MaxRegisterDelay{1000};
   std::chrono::milliseconds EvidenceInterval{150};
+  /// Unchanged routes whose counts are repeated with each evidence, since
+  /// datagrams may be lost and relays change. About one datagram.
+  std::size_t RefreshedRoutes = 40;
   /// Evidence counts as current for about six lost datagrams.
   std::chrono::milliseconds MaxEvidenceAge{1000};
   /// A newer document that no peer has delivered within this time is read from
@@ -226,7 +229,11 @@
   void writeStatus(followed_order &Followed, const rollout_record &Record,
                    state::time_point Now);
   void sendEvidence(state::time_point Now);
-  /// Sets the daemon's counts; those of its earlier incarnations are kept.
+  /// Returns the counts that the next evidence should have.
+  route_counts evidenceToSend(const route_counts &Counts,
+                              std::uint64_t OrderRevision);
+  /// Sets the daemon's counts on the routes in Latest; those of other routes
+  /// and of its earlier incarnations are kept.
   void recordEvidence(const std::string &Instance, upstream_evidence Latest);
   void log(std::string_view Event, const std::string &Fields) const;
 
@@ -281,7 +288,10 @@
   std::map<std::string, followed_order> Orders; // by service
   /// Time at which each order became known, by service and revision.
   std::map<std::pair<std::string, std::uint64_t>, state::time_point> FirstSeen;
-  std::map<std::string, upstream_evidence> Evidence;    // by instance
+  std::map<std::string, upstream_evidence> Evidence; // by instance
+  std::uint64_t SentOrderRevision = 0; // of the evidence sent last
+  route_counts SentCounts;             // last sent counts of each route
+  std::string LastRefreshedRoute;      // sent without a change
   std::map<std::string, std::uint64_t> StatusRevisions; // by service
   bool StatusesRead = false;
 
--- a/hyssopledge/coordination/fleet_agent_rollouts.cpp
+++ b/hyssopledge/coordination/fleet_agent_rollouts.cpp
@@ -298,7 +298,7 @@
   Message.Version = Self.Upstream.Version;
   Message.OrderRevision = Rollout->OrderRevision;
   Message.Incarnation = Self.Incarnation;
-  Message.Counts = Hooks.RouteCounts();
+  Message.Counts = evidenceToSend(Hooks.RouteCounts(), Message.OrderRevision);
   // Any relay may become the coordinator, also without the platform.
   for (const auto &[Name, Beacon] : Beacons) {
     const member_record *Member = Directory.find(Name);
@@ -307,16 +307,53 @@
   }
 }
 
+/// Counts add up from the order on, so only those that changed are due. The
+/// others are repeated in turn.
+route_counts fleet_agent::evidenceToSend(const route_counts &Counts,
+                                         std::uint64_t OrderRevision) {
+  if (std::exchange(SentOrderRevision, OrderRevision) != OrderRevision)
+    SentCounts.clear();
+  route_counts Due;
+  for (const auto &[Route, Count] : Counts)
+    if (const auto Sent = SentCounts.find(Route);
+        Sent == SentCounts.end() || Sent->second != Count)
+      Due.emplace(Route, Count);
+  auto Next = Counts.upper_bound(LastRefreshedRoute);
+  for (std::size_t I = 0; I < std::min(Timing.RefreshedRoutes, Counts.size());
+       ++I) {
+    if (Next == Counts.end())
+      Next = Counts.begin();
+    Due.insert(*Next);
+    LastRefreshedRoute = Next->first;
+    ++Next;
+  }
+  SentCounts = Counts;
+  return Due;
+}
+
 void fleet_agent::recordEvidence(const std::string &Instance,
                                  upstream_evidence Latest) {
   upstream_evidence &Known = Evidence[Instance];
+  if (Latest.OrderRevision < Known.OrderRevision)
+    return; // a late datagram
   if (Known.OrderRevision == Latest.OrderRevision &&
       Known.Version == Latest.Version) {
     if (Latest.Incarnation < Known.Incarnation)
       return; // a late datagram
     Latest.FormerCounts = std::move(Known.FormerCounts);
-    if (Latest.Incarnation > Known.Incarnation)
+    if (Latest.Incarnation > Known.Incarnation) {
       addCounts(Latest.FormerCounts, Known.Counts);
+    } else {
+      // A late datagram has smaller counts.
+      const auto Calls = [](const run_counts &Count) {
+        return Count.Runs + Count.Unfinished;
+      };
+      for (const auto &[Route, Count] : Latest.Counts)
+        if (run_counts &KnownCount = Known.Counts[Route];
+            Calls(Count) >= Calls(KnownCount))
+          KnownCount = Count;
+      Latest.Counts = std::move(Known.Counts);
+    }
   }
   Known = std::move(Latest);
 }
--- a/hyssopledge/coordination/peer_message.cpp
+++ b/hyssopledge/coordination/peer_message.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-// Upper estimate of the size of one encoded member or rollout.
-constexpr std::size_t RecordBytes = 240;
+// MessagePack needs up to this many bytes more than for an empty list or 0: 4
+// for the lengths of two lists each, and 4 for Part and Parts each.
+constexpr std::size_t MaxGrowthOfHead = 16;
 // Encodes that an upstream has no request limit, in requests per second.
 constexpr double NoRequestLimit = 1e15;
 
@@ -76,6 +77,19 @@
   return R;
 }
 
+json toJson(const std::string &Route, const run_counts &Count) {
+  json Row = json::array({Route, Count.Runs, Count.Failures, Count.TotalMs});
+  if (Count.Unfinished > 0) {
+    Row.push_back(Count.Unfinished);
+    Row.push_back(Count.UnfinishedMs);
+  }
+  return Row;
+}
+
+json toJson(const state::crash_sighting &S) {
+  return json::array({S.Fingerprint, S.Instance, S.Incarnation, S.InFlight});
+}
+
 std::string pack(const json &J) {
   std::string Out;
   json::to_msgpack(J, Out);
@@ -149,15 +163,8 @@
   }
   case peer_message_kind::Evidence: {
     json Counts = json::array();
-    for (const auto &[Route, Count] : M.Counts) {
-      json Row =
-          json::array({Route, Count.Runs, Count.Failures, Count.TotalMs});
-      if (Count.Unfinished > 0) {
-        Row.push_back(Count.Unfinished);
-        Row.push_back(Count.UnfinishedMs);
-      }
-      Counts.push_back(std::move(Row));
-    }
+    for (const auto &[Route, Count] : M.Counts)
+      Counts.push_back(toJson(Route, Count));
     J.push_back(M.Service);
     J.push_back(M.Version);
     J.push_back(M.OrderRevision);
@@ -167,9 +174,8 @@
   }
   case peer_message_kind::Crash: {
     json Sightings = json::array();
-    for (const state::crash_sighting &S : M.Sightings)
-      Sightings.push_back(
-          {S.Fingerprint, S.Instance, S.Incarnation, S.InFlight});
+    for (const state::crash_sighting &Sighting : M.Sightings)
+      Sightings.push_back(toJson(Sighting));
     J.push_back(std::move(Sightings));
     break;
   }
@@ -243,35 +249,56 @@
   }
 }
 
-std::vector<peer_message> splitRecords(const peer_message &Message) {
-  constexpr std::size_t PerMessage = MaxDatagramBytes / RecordBytes;
-  std::vector<peer_message> Out;
-  peer_message Empty = Message;
-  Empty.Kind = peer_message_kind::Records;
-  Empty.Members.clear();
-  Empty.Rollouts.clear();
-  peer_message Next = Empty;
-  const auto Flush = [&](bool Always) {
-    const std::size_t Count = Next.Members.size() + Next.Rollouts.size();
-    if (Count == 0 || (!Always && Count < PerMessage))
-      return;
-    Out.push_back(std::move(Next));
-    Next = Empty;
+std::vector<peer_message> splitMessage(const peer_message &Message) {
+  peer_message Head = Message;
+  Head.Members.clear();
+  Head.Rollouts.clear();
+  Head.Counts.clear();
+  Head.Sightings.clear();
+  const std::size_t HeadBytes =
+      encodePeerMessage(Head).size() + MaxGrowthOfHead;
+  std::vector<peer_message> Parts = {Head};
+  std::size_t Bytes = HeadBytes;
+  bool Empty = true;
+  // Returns the message that has room for the item.
+  const auto PartFor = [&](const json &Item) -> peer_message & {
+    const std::size_t ItemBytes = pack(Item).size();
+    if (!Empty && Bytes + ItemBytes > MaxDatagramBytes) {
+      Parts.push_back(Head);
+      Bytes = HeadBytes;
+    }
+    Empty = false;
+    Bytes += ItemBytes;
+    return Parts.back();
   };
-  for (const member_record &Record : Message.Members) {
-    Next.Members.push_back(Record);
-    Flush(false);
-  }
-  for (const rollout_record &Record : Message.Rollouts) {
-    Next.Rollouts.push_back(Record);
-    Flush(false);
-  }
-  Flush(true);
-  for (peer_message &Part : Out) {
-    Part.Part = static_cast<std::uint32_t>(&Part - Out.data());
-    Part.Parts = static_cast<std::uint32_t>(Out.size());
+  for (const member_record &Record : Message.Members)
+    PartFor(toJson(Record)).Members.push_back(Record);
+  for (const rollout_record &Record : Message.Rollouts)
+    PartFor(toJson(Record)).Rollouts.push_back(Record);
+  for (const auto &[Route, Count] : Message.Counts)
+    PartFor(toJson(Route, Count)).Counts.emplace(Route, Count);
+  for (const state::crash_sighting &Sighting : Message.Sightings)
+    PartFor(toJson(Sighting)).Sightings.push_back(Sighting);
+  return Parts;
+}
+
+std::vector<std::string> encodeDatagrams(const peer_message &Message) {
+  std::vector<std::string> Datagrams = {encodePeerMessage(Message)};
+  if (Datagrams.front().size() <= MaxDatagramBytes)
+    return Datagrams;
+  Datagrams.clear();
+  for (const peer_message &Part : splitMessage(Message))
+    Datagrams.push_back(encodePeerMessage(Part));
+  return Datagrams;
+}
+
+std::vector<peer_message> splitRecords(const peer_message &Message) {
+  std::vector<peer_message> Parts = splitMessage(Message);
+  for (std::size_t I = 0; I < Parts.size(); ++I) {
+    Parts[I].Part = static_cast<std::uint32_t>(I);
+    Parts[I].Parts = static_cast<std::uint32_t>(Parts.size());
   }
-  return Out;
+  return Parts;
 }
 
 std::string encodeMember(const member_record &Record) {
--- a/hyssopledge/coordination/peer_message.h
+++ b/hyssopledge/coordination/peer_message.h
@@ -45,7 +45,8 @@
   std::string Version;
   std::uint64_t OrderRevision = 0;
   std::uint64_t Incarnation = 0; // of the sender
-  /// Since the order became known to this incarnation of the sender.
+  /// Since the order became known to this incarnation of the sender; of some or
+  /// all routes.
   route_counts Counts;
   //--- Crash ------------------------------------------------------------------
   std::vector<state::crash_sighting> Sightings;
@@ -57,8 +58,12 @@
 std::string encodePeerMessage(const peer_message &Message);
 state::result<peer_message> decodePeerMessage(std::string_view Datagram);
 
-/// Splits the records into messages of at most MaxDatagramBytes, with Part and
-/// Parts set.
+/// Splits the lists of a message over messages of at most MaxDatagramBytes
+/// each. A single longer item gets a message of its own.
+std::vector<peer_message> splitMessage(const peer_message &Message);
+/// Encodes a message as one datagram, or as several if it is too long for one.
+std::vector<std::string> encodeDatagrams(const peer_message &Message);
+/// Splits the records of a full sync, with Part and Parts set.
 std::vector<peer_message> splitRecords(const peer_message &Message);
 
 std::string encodeMember(const member_record &Record);
--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -112,7 +112,10 @@
       for (int Round = 0; Round < 4 && !Datagrams.empty(); ++Round)
         for (auto &Datagram : std::exchange(Datagrams, {})) {
           ++DatagramCount;
-          if (disconnected(Datagram.From, Datagram.To) ||
+          const bool Fits =
+              Datagram.Text.size() <= coordination::MaxDatagramBytes;
+          CHECK(Fits);
+          if (!Fits || disconnected(Datagram.From, Datagram.To) ||
               (DropEveryNth != 0 && DatagramCount % DropEveryNth == 0) ||
               state::unitInterval(Random()) < LossRate)
             continue;
@@ -576,6 +579,65 @@
   CHECK(Fleet.Platform.entries().contains("status/rollout/pages"));
 }
 
+// The counts of all routes went in one datagram, which was cut off when more
+// than about 80 routes were in use.
+TEST_CASE("a bad version is rolled back however many routes its service has") {
+  struct routes_case {
+    const char *Name;
+    int Routes;
+    bool Bad;
+    double LossRate;
+    const char *Expected;
+  };
+  const routes_case Cases[] = {
+      {"bad, a few routes", 3, true, 0, "rolled_back"},
+      {"bad, 350 routes", 350, true, 0, "rolled_back"},
+      {"bad, 350 routes, datagrams are lost", 350, true, 0.2, "rolled_back"},
+      {"good, 350 routes", 350, false, 0, "completed"},
+      {"good, 350 routes, datagrams are lost", 350, false, 0.2, "completed"},
+  };
+  for (const routes_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    auto Fleet = sixDaemonsInRollout();
+    Fleet->LossRate = Case.LossRate;
+    constexpr std::uint64_t RunsInStep = 30; // 300 calls a second
+    const auto Draw = [&](int Limit) {
+      return static_cast<int>(state::uniformBelow(
+          Fleet->Random, static_cast<std::uint64_t>(Limit)));
+    };
+    std::uint64_t AllRuns = 0;
+    std::uint64_t NewRuns = 0;
+    for (int Step = 0; Step < 200; ++Step) {
+      Fleet->run(milliseconds(100));
+      const std::uint32_t ShareBp =
+          coordination::trafficSplit(
+              Fleet->Nodes.at("a-1")->Agent->directory().rollout("pages"))
+              .ShareBp;
+      for (std::uint64_t I = 0; I < RunsInStep; ++I) {
+        const bool New = Draw(10'000) < static_cast<int>(ShareBp);
+        const bool First = Draw(2) == 0;
+        const char *Upstream =
+            New ? (First ? "a-3" : "b-2") : (First ? "a-2" : "b-1");
+        auto &Count = Fleet->Nodes.at(Upstream)
+                          ->Counts["r-b" + std::to_string(Draw(Case.Routes))];
+        ++Count.Runs;
+        if (New && Case.Bad && ShareBp == 10'000 && Draw(3) == 0)
+          ++Count.Failures;
+        else
+          Count.TotalMs += 100;
+        NewRuns += New ? 1 : 0;
+      }
+      AllRuns += Step < 160 ? RunsInStep : 0;
+    }
+    const auto &Entries = Fleet->Platform.entries();
+    REQUIRE(Entries.contains("status/rollout/pages"));
+    CHECK(Entries.at("status/rollout/pages").Value.find(Case.Expected) !=
+          std::string::npos);
+    if (Case.Bad) // exposureShare and exposureSlack of the users
+      CHECK(NewRuns <= AllRuns / 10 + 50);
+  }
+}
+
 // While the platform is away, no relay can write a state, but calls go on.
 TEST_CASE("a version that turns bad during an outage of the platform gets no "
           "more requests") {
--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -322,6 +322,67 @@
   CHECK(Received.find("member-3")->Upstream.State == upstream_state::Draining);
 }
 
+// A datagram that is longer than the receiver's buffer is lost.
+TEST_CASE("a message of any length is sent in datagrams that arrive whole") {
+  const std::string LongName(90, 'n');
+  peer_message Records;
+  Records.Kind = peer_message_kind::Records;
+  peer_message Evidence;
+  Evidence.Kind = peer_message_kind::Evidence;
+  Evidence.Service = LongName;
+  Evidence.OrderRevision = 7;
+  Evidence.Incarnation = 1'800'000'000'000;
+  peer_message Crash;
+  Crash.Kind = peer_message_kind::Crash;
+  for (int I = 0; I < 400; ++I) {
+    member_record Member = member((LongName + std::to_string(I)).c_str(),
+                                  1'800'000'000'000, std::uint64_t(I));
+    Member.HopAddress = Member.ControlAddress = "10.200.100.100:65535";
+    Member.Upstream.Name = Member.Upstream.Service = LongName;
+    Member.Upstream.RequestLimit = 12.5;
+    Records.Members.push_back(Member);
+    rollout_record Rollout = rollout(4, 2, rollout_state::Running, 500);
+    Rollout.Service = LongName + std::to_string(I);
+    Records.Rollouts.push_back(Rollout);
+    Evidence.Counts[LongName + std::to_string(I)] = {
+        100'000, 100'000, 100'000'000, 100'000, 100'000'000};
+    Crash.Sightings.push_back(
+        {~std::uint64_t(I), LongName, 1'800'000'000'000, 400});
+  }
+  for (peer_message *Message : {&Records, &Evidence, &Crash}) {
+    Message->From = LongName;
+    Message->ControlAddress = "10.200.100.100:65535";
+    peer_message Received;
+    for (const peer_message &Part : splitMessage(*Message)) {
+      const std::string Datagram = encodePeerMessage(Part);
+      CHECK(Datagram.size() <= MaxDatagramBytes);
+      const auto Read = decodePeerMessage(Datagram);
+      REQUIRE(Read.has_value());
+      const peer_message &Decoded = Read.value();
+      CHECK(Decoded.From == LongName);
+      CHECK(Decoded.OrderRevision == Message->OrderRevision);
+      CHECK(Decoded.Incarnation == Message->Incarnation);
+      Received.Members.insert(Received.Members.end(), Decoded.Members.begin(),
+                              Decoded.Members.end());
+      Received.Rollouts.insert(Received.Rollouts.end(),
+                               Decoded.Rollouts.begin(),
+                               Decoded.Rollouts.end());
+      Received.Counts.insert(Decoded.Counts.begin(), Decoded.Counts.end());
+      Received.Sightings.insert(Received.Sightings.end(),
+                                Decoded.Sightings.begin(),
+                                Decoded.Sightings.end());
+    }
+    CHECK(Received.Members.size() == Message->Members.size());
+    CHECK(Received.Rollouts.size() == Message->Rollouts.size());
+    CHECK(Received.Counts.size() == Message->Counts.size());
+    CHECK(Received.Sightings.size() == Message->Sightings.size());
+  }
+  // A short message, and one without records, is one datagram.
+  Crash.Sightings.resize(1);
+  CHECK(splitMessage(Crash).size() == 1);
+  CHECK(splitMessage(peer_message{}).size() == 1);
+}
+
 TEST_CASE("the evidence of a rollout decodes to the encoded counts") {
   peer_message Message;
   Message.Kind = peer_message_kind::Evidence;
