requests that crash targets stay known while daemons restart

Cause: sightings of crashes went to the daemons that ran at that moment and were kept in memory only. Only the daemon beside the target checks them.

Change: a daemon names the condemned fingerprints that crashed its upstream in its own record, at most 16. Records reach starting daemons, are repaired after loss, and lie in the platform's store. They are forgotten after the detector's 30 minutes, which is now done for the detector's memory, too.

Tests: fleet_agent_test/"requests that crash upstreams stay known while daemons restart" (8 rows; all fail when the record is sent without the fingerprints), mesh_plane_test/"a request that crashes upstreams is refused by a daemon that learns of it from others", poison_test/"what another daemon has condemned is condemned here".

--- a/apps/hyssop_mesh/mesh_daemon.cpp
+++ b/apps/hyssop_mesh/mesh_daemon.cpp
@@ -57,6 +57,7 @@
 constexpr milliseconds LimitPublishInterval{1000};
 constexpr double MinLimitChange = 0.1;
 constexpr milliseconds UpstreamConnectTimeout{300};
+constexpr std::chrono::minutes PoisonExpiryInterval{1};
 
 std::uint64_t unixNowMs() {
   return static_cast<std::uint64_t>(
@@ -126,6 +127,11 @@
         UpstreamClient->addSightings(Sightings);
         Agent->reportCrash(Sightings);
       };
+  UpstreamHooks.OnPoisonChanged = [this] {
+    logEvent(log_level::Warn, "poison_changed",
+             {{"fingerprints", UpstreamClient->poison().size()}});
+    Agent->setPoison(UpstreamClient->poison());
+  };
   UpstreamHooks.OnLeaving = [this] {
     if (Registry.drain() == coordination::registry_update::Changed)
       onUpstreamChanged(Registry.record().Name,
@@ -215,6 +221,10 @@
       [this](const std::vector<state::crash_sighting> &Sightings) {
         UpstreamClient->addSightings(Sightings);
       };
+  AgentHooks.OnPoison = [this](const std::vector<std::uint64_t> &Fingerprints,
+                               bool Own) {
+    UpstreamClient->condemn(Fingerprints, Own);
+  };
   AgentHooks.OnFormerUpstream = [this](const upstream_record &Former) {
     const bool Changed =
         Registry.restore(Former) == coordination::registry_update::Changed;
@@ -242,6 +252,9 @@
   LogFlushTimer = Timers.every(LogFlushInterval, [this](state::time_point Now) {
     onLogFlushTimer(Now);
   });
+  PoisonTimer = Timers.every(PoisonExpiryInterval, [this](state::time_point) {
+    UpstreamClient->expirePoison();
+  });
   awaitSignal();
   logEvent(log_level::Info, "started",
            {{"instance", Settings.Instance},
--- a/apps/hyssop_mesh/mesh_daemon.h
+++ b/apps/hyssop_mesh/mesh_daemon.h
@@ -90,6 +90,7 @@
   std::unique_ptr<transport::http_listener> UpstreamControlListener;
   std::unique_ptr<transport::http_listener> MetricsListener;
   std::unique_ptr<state::timer_subscription> LogFlushTimer;
+  std::unique_ptr<state::timer_subscription> PoisonTimer;
   std::unique_ptr<state::timer_subscription> ShutdownTimer;
   std::string CompressedDocument; // cache for peers; empty: not compressed yet
   state::time_point LimitPublishedAt{};
--- a/hyssopledge/coordination/fleet_agent.cpp
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -12,14 +12,22 @@
 
 /// Whether a restarted daemon's record of its upstream lacks what the former
 /// record says.
-bool lacksFormerState(const upstream_record &Restarted,
-                      const upstream_record &Former) {
-  if (Former.State == upstream_state::None)
+bool lacksFormerState(const member_record &Restarted,
+                      const member_record &Former) {
+  if (std::any_of(Former.PoisonFingerprints.begin(),
+                  Former.PoisonFingerprints.end(), [&](std::uint64_t F) {
+                    return std::count(Restarted.PoisonFingerprints.begin(),
+                                      Restarted.PoisonFingerprints.end(),
+                                      F) == 0;
+                  }))
+    return true;
+  const upstream_record &New = Restarted.Upstream;
+  const upstream_record &Old = Former.Upstream;
+  if (Old.State == upstream_state::None)
     return false;
-  return Restarted.State == upstream_state::None ||
-         (Restarted.Name == Former.Name &&
-          Restarted.StartUnixMs == Former.StartUnixMs &&
-          Restarted.RequestLimit != Former.RequestLimit);
+  return New.State == upstream_state::None ||
+         (New.Name == Old.Name && New.StartUnixMs == Old.StartUnixMs &&
+          New.RequestLimit != Old.RequestLimit);
 }
 
 } // namespace
@@ -106,6 +114,15 @@
     registerSelf();
 }
 
+void fleet_agent::setPoison(std::vector<std::uint64_t> Fingerprints) {
+  if (Self.PoisonFingerprints == Fingerprints)
+    return;
+  Self.PoisonFingerprints = std::move(Fingerprints);
+  announceSelf();
+  if (Registered || MembersReadAttempted)
+    registerSelf();
+}
+
 void fleet_agent::leave(bool Permanent) {
   Leaving = true;
   Self.Left = Permanent;
@@ -143,8 +160,11 @@
   bool Changed = false;
   for (const member_record &Record : Records) {
     if (Record.Instance == Options.Instance) {
-      if (Record.Incarnation != Self.Incarnation)
+      if (Record.Incarnation != Self.Incarnation) {
         updateFormerUpstream(Record);
+        if (Hooks.OnPoison && !Record.PoisonFingerprints.empty())
+          Hooks.OnPoison(Record.PoisonFingerprints, true);
+      }
       // The system clock went back or another process uses this name; other
       // members would ignore this daemon's records.
       if (Record.Incarnation > Self.Incarnation) {
@@ -161,15 +181,18 @@
     if (Started && !Synced && Announced && Record.Instance == Sender)
       sendOwnRecord(Record.ControlAddress);
     const bool Restarted = Known != nullptr && Started;
-    if (Restarted && lacksFormerState(Record.Upstream, Known->Upstream)) {
+    if (Restarted && lacksFormerState(Record, *Known)) {
       // The restarted daemon may not know that its upstream has left, or has
       // restored an older record from the platform.
       peer_message Former = message(peer_message_kind::Records);
       Former.Members.push_back(*Known);
       sendTo(Record.ControlAddress, Former);
     }
-    if (Directory.merge(Record))
-      Changed = true;
+    if (!Directory.merge(Record))
+      continue;
+    Changed = true;
+    if (Hooks.OnPoison && !Record.PoisonFingerprints.empty())
+      Hooks.OnPoison(Record.PoisonFingerprints, false);
   }
   if (Changed && Hooks.OnDirectoryChanged)
     Hooks.OnDirectoryChanged();
--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -62,6 +62,9 @@
   /// Called when members or rollouts change.
   std::function<void()> OnDirectoryChanged;
   std::function<void(const std::vector<state::crash_sighting> &)> OnCrash;
+  /// Called with the poison fingerprints of a member's record. Own: of this
+  /// daemon's record from before its start.
+  std::function<void(const std::vector<std::uint64_t> &, bool Own)> OnPoison;
   /// Called with the state of this daemon's upstream that other members know
   /// from before its start, and again for each later state.
   std::function<void(const upstream_record &Former)> OnFormerUpstream;
@@ -141,6 +144,9 @@
 
   /// Sets the state of the upstream and announces it immediately.
   void setUpstream(const upstream_record &Upstream);
+  /// Sets the fingerprints of the requests that crashed the upstream and
+  /// others, and announces them. They stay known while the daemons restart.
+  void setPoison(std::vector<std::uint64_t> Fingerprints);
   /// Sends the requests that were running at a crash to all members.
   void reportCrash(const std::vector<state::crash_sighting> &Sightings);
   void ping(const std::string &Instance);
--- a/hyssopledge/coordination/fleet_directory.h
+++ b/hyssopledge/coordination/fleet_directory.h
@@ -41,6 +41,9 @@
   std::string ControlAddress; // "ip:port" for datagrams between daemons
   bool Left = false;          // the daemon has stopped permanently
   double LinkMbps = 0;        // of the instance; 0: unknown
+  /// Fingerprints of requests that crashed the upstream beside the daemon and
+  /// others (state/poison.h).
+  std::vector<std::uint64_t> PoisonFingerprints;
   upstream_record Upstream;
 };
 
--- a/hyssopledge/coordination/peer_message.cpp
+++ b/hyssopledge/coordination/peer_message.cpp
@@ -21,10 +21,14 @@
                    R.HopAddress, R.ControlAddress, R.Left, U.Name, U.Service,
                    U.Version, U.Slots, static_cast<int>(U.State),
                    U.AcceptsConnections, U.Cold, U.StartUnixMs, U.Sequence});
-  if (U.RequestLimit || R.LinkMbps > 0)
+  const bool HasPoison = !R.PoisonFingerprints.empty();
+  const bool HasLink = R.LinkMbps > 0 || HasPoison;
+  if (U.RequestLimit || HasLink)
     J.push_back(U.RequestLimit.value_or(NoRequestLimit));
-  if (R.LinkMbps > 0)
+  if (HasLink)
     J.push_back(R.LinkMbps);
+  if (HasPoison)
+    J.push_back(R.PoisonFingerprints);
   return J;
 }
 
@@ -55,6 +59,8 @@
     U.RequestLimit = J.at(16).get<double>();
   if (J.size() > 17)
     R.LinkMbps = J.at(17).get<double>();
+  if (J.size() > 18)
+    R.PoisonFingerprints = J.at(18).get<std::vector<std::uint64_t>>();
   return R;
 }
 
--- a/hyssopledge/state/poison.cpp
+++ b/hyssopledge/state/poison.cpp
@@ -33,12 +33,16 @@
   return Fingerprint;
 }
 
+poison_detector::suspect &
+poison_detector::suspectOf(std::uint64_t Fingerprint) {
+  if (Suspects.size() >= MaxSuspects && Suspects.count(Fingerprint) == 0)
+    evictOldest();
+  return Suspects[Fingerprint];
+}
+
 bool poison_detector::addSighting(const crash_sighting &Sighting,
                                   time_point Now) {
-  if (Suspects.size() >= MaxSuspects &&
-      Suspects.count(Sighting.Fingerprint) == 0)
-    evictOldest();
-  suspect &Suspect = Suspects[Sighting.Fingerprint];
+  suspect &Suspect = suspectOf(Sighting.Fingerprint);
   const std::string Crash =
       Sighting.Instance + "#" + std::to_string(Sighting.Incarnation);
   if (Suspect.Withdrawn.count(Crash) != 0 ||
@@ -55,6 +59,14 @@
   return true;
 }
 
+void poison_detector::condemn(std::uint64_t Fingerprint, time_point Now) {
+  suspect &Suspect = suspectOf(Fingerprint);
+  if (Suspect.Condemned || !Suspect.Withdrawn.empty())
+    return;
+  Suspect.Condemned = true;
+  Suspect.LastSeen = Now;
+}
+
 void poison_detector::addSuccess(std::uint64_t Fingerprint) {
   const auto Found = Suspects.find(Fingerprint);
   if (Found == Suspects.end())
--- a/hyssopledge/state/poison.h
+++ b/hyssopledge/state/poison.h
@@ -44,6 +44,9 @@
 
   /// Returns true when this sighting condemns the fingerprint.
   bool addSighting(const crash_sighting &Sighting, time_point Now);
+  /// Condemns a fingerprint that another daemon has condemned, unless a request
+  /// with it has succeeded here since its sightings.
+  void condemn(std::uint64_t Fingerprint, time_point Now);
   /// Records that a request with the fingerprint succeeded: it is no longer
   /// condemned, and its sightings so far don't count.
   void addSuccess(std::uint64_t Fingerprint);
@@ -63,6 +66,7 @@
     time_point LastSeen{};
     bool Condemned = false;
   };
+  suspect &suspectOf(std::uint64_t Fingerprint);
   void evictOldest();
 
   std::unordered_map<std::uint64_t, suspect> Suspects;
--- a/hyssopledge/transport/upstream_client.cpp
+++ b/hyssopledge/transport/upstream_client.cpp
@@ -28,6 +28,10 @@
 // The expected run time of a route without measurements is its remaining
 // latency objective divided by this.
 constexpr int SloRunTimeDivisor = 3;
+// Crashed requests that are remembered; more than the slots of an upstream.
+constexpr std::size_t MaxFingerprints = 64;
+// Length of poison(), which is part of the daemon's record.
+constexpr std::size_t MaxOwnPoison = 16;
 // Expected run time when the objective is missed already.
 constexpr milliseconds FallbackRunTime{50};
 
@@ -200,8 +204,10 @@
         Client.countRun(Call.Route, Status >= 500, RunTime);
         Client.Failures.record(Status >= 500, boot_clock::now());
       }
-      if (Status < 500 && Client.HasSightings)
+      if (Status < 500 && Client.HasSightings) {
         Client.Poison.addSuccess(Fingerprint);
+        Client.updateOwnPoison();
+      }
     }
     removeConnectionFields(Response);
     Answer.Response = std::move(Response);
@@ -413,11 +419,45 @@
   HasSightings = true;
   for (const state::crash_sighting &Sighting : Sightings)
     Poison.addSighting(Sighting, boot_clock::now());
+  updateOwnPoison();
+}
+
+void upstream_client::condemn(const std::vector<std::uint64_t> &Fingerprints,
+                              bool Own) {
+  HasSightings = true;
+  for (const std::uint64_t Fingerprint : Fingerprints) {
+    Poison.condemn(Fingerprint, boot_clock::now());
+    if (Own)
+      addOwnCrash(Fingerprint);
+  }
+  updateOwnPoison();
+}
+
+void upstream_client::addOwnCrash(std::uint64_t Fingerprint) {
+  if (std::count(OwnCrashes.begin(), OwnCrashes.end(), Fingerprint) > 0)
+    return;
+  OwnCrashes.push_back(Fingerprint);
+  if (OwnCrashes.size() > MaxFingerprints)
+    OwnCrashes.pop_front();
+}
+
+void upstream_client::updateOwnPoison() {
+  const state::time_point Now = boot_clock::now();
+  std::vector<std::uint64_t> Condemned;
+  for (auto It = OwnCrashes.rbegin();
+       It != OwnCrashes.rend() && Condemned.size() < MaxOwnPoison; ++It)
+    if (Poison.isPoison(*It, Now))
+      Condemned.push_back(*It);
+  if (std::exchange(OwnPoison, Condemned) != Condemned && Hooks.OnPoisonChanged)
+    Hooks.OnPoisonChanged();
+}
+
+void upstream_client::expirePoison() {
+  Poison.expire(boot_clock::now());
+  updateOwnPoison();
 }
 
 void upstream_client::onConnectionClosed(std::uint64_t Fingerprint) {
-  // More than the slots of an upstream.
-  constexpr std::size_t MaxFingerprints = 64;
   if (SuspectFingerprints.size() < MaxFingerprints)
     SuspectFingerprints.push_back(Fingerprint);
   probe();
@@ -451,9 +491,11 @@
     if (AcceptedConnections && !Suspects.empty() && Hooks.OnCrash) {
       std::vector<state::crash_sighting> Sightings;
       Sightings.reserve(Suspects.size());
-      for (const std::uint64_t Fingerprint : Suspects)
+      for (const std::uint64_t Fingerprint : Suspects) {
+        addOwnCrash(Fingerprint);
         Sightings.push_back({Fingerprint, Upstream.Name, Upstream.StartUnixMs,
                              static_cast<std::uint32_t>(Suspects.size())});
+      }
       Hooks.OnCrash(Sightings);
     }
     ProbeTimer.expires_after(ProbeInterval);
--- a/hyssopledge/transport/upstream_client.h
+++ b/hyssopledge/transport/upstream_client.h
@@ -15,6 +15,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -38,6 +39,8 @@
   /// Called after a crash, with a sighting for each request whose connection
   /// it closed.
   std::function<void(const std::vector<state::crash_sighting> &)> OnCrash;
+  /// Called when poison() changes.
+  std::function<void()> OnPoisonChanged;
   /// Called when the upstream says in a response that it leaves.
   std::function<void()> OnLeaving;
   /// Called when the upstream names another request limit or none any more.
@@ -108,8 +111,17 @@
   void setCountedOrder(std::uint64_t OrderRevision);
   const coordination::route_counts &routeCounts() const { return Counts; }
 
+  //--- Requests that crash upstreams ------------------------------------------
   /// Adds crash sightings of this or other daemons to the poison detector.
   void addSightings(const std::vector<state::crash_sighting> &Sightings);
+  /// Condemns fingerprints that other daemons have condemned. Own: they crashed
+  /// the upstream here before this daemon started.
+  void condemn(const std::vector<std::uint64_t> &Fingerprints, bool Own);
+  /// Condemned fingerprints of requests that crashed the upstream here, the
+  /// latest ones.
+  const std::vector<std::uint64_t> &poison() const { return OwnPoison; }
+  /// Forgets fingerprints after the detector's retention period.
+  void expirePoison();
 
 private:
   class exchange;
@@ -119,6 +131,8 @@
   void release(const std::vector<state::queue_release> &Releases);
   void armExpiryTimer();
   void onConnectionClosed(std::uint64_t Fingerprint);
+  void addOwnCrash(std::uint64_t Fingerprint);
+  void updateOwnPoison();
   void probe();
   void setAcceptsConnections(bool AcceptsConnections);
   void setRequestLimit(std::optional<double> PerSecond);
@@ -146,6 +160,8 @@
   //--- Crashes ----------------------------------------------------------------
   state::poison_detector Poison;
   bool HasSightings = false;
+  std::deque<std::uint64_t> OwnCrashes; // fingerprints, the latest ones
+  std::vector<std::uint64_t> OwnPoison; // the condemned ones of them
   /// Fingerprints of requests whose connection was closed since the last probe.
   std::vector<std::uint64_t> SuspectFingerprints;
   std::unique_ptr<boost::asio::ip::tcp::socket> Probe;
--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -56,6 +56,7 @@
     fleet &Fleet;
     std::string Name;
     coordination::route_counts Counts;
+    std::set<std::uint64_t> Poison; // fingerprints received
     std::uint64_t LowestVersion = 0;
     std::unique_ptr<coordination::fleet_agent> Agent;
   };
@@ -75,6 +76,11 @@
       Added.LowestVersion = Table->version();
     };
     Hooks.RouteCounts = [&Added] { return Added.Counts; };
+    Hooks.OnPoison = [&Added](const auto &Fingerprints, bool Own) {
+      Added.Poison.insert(Fingerprints.begin(), Fingerprints.end());
+      if (Own) // as upstream_client does
+        Added.Agent->setPoison(Fingerprints);
+    };
     Hooks.OnFormerUpstream = [&Added](const upstream_record &Former) {
       // Does the same as upstream_registry.
       if (Former.State == upstream_state::Serving &&
@@ -335,6 +341,59 @@
   CHECK(Former->RequestLimit == 12.5);
 }
 
+// The crashes were known only to the daemons that ran when they happened.
+TEST_CASE("requests that crash upstreams stay known while daemons restart") {
+  struct poison_case {
+    const char *Name;
+    std::function<void(fleet &)> Trouble; // after the report of a-2
+  };
+  const auto Restart = [](fleet &F, std::vector<std::string> Names,
+                          std::uint64_t Incarnation) {
+    for (const std::string &Name : Names)
+      F.remove(Name);
+    for (const std::string &Name : Names)
+      F.add(Name, Incarnation);
+  };
+  const poison_case Cases[] = {
+      {"no restart", [](fleet &) {}},
+      {"another daemon restarts", [&](fleet &F) { Restart(F, {"b-3"}, 9); }},
+      {"a daemon is added", [](fleet &F) { F.add("b-4"); }},
+      {"the reporting daemon restarts",
+       [&](fleet &F) { Restart(F, {"a-2"}, 9); }},
+      {"all restart in turn",
+       [&](fleet &F) {
+         for (const std::string &Name : Six) {
+           Restart(F, {Name}, 9);
+           F.run(milliseconds(1000));
+         }
+       }},
+      {"all restart at once", [&](fleet &F) { Restart(F, Six, 9); }},
+      {"all restart at once, twice",
+       [&](fleet &F) {
+         Restart(F, Six, 9);
+         F.run(milliseconds(4000));
+         Restart(F, Six, 10);
+       }},
+      {"a daemon was cut off meanwhile",
+       [](fleet &F) { F.Disconnected.clear(); }},
+  };
+  for (const poison_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    auto Fleet = sixDaemons();
+    if (std::string(Case.Name) == "a daemon was cut off meanwhile")
+      Fleet->Disconnected.insert("b-3");
+    Fleet->Nodes.at("a-2")->Poison = {77, ~std::uint64_t(0)};
+    Fleet->Nodes.at("a-2")->Agent->setPoison({77, ~std::uint64_t(0)});
+    Fleet->run(milliseconds(1000));
+    Case.Trouble(*Fleet);
+    Fleet->run(milliseconds(4000));
+    for (const auto &[Name, Node] : Fleet->Nodes) {
+      CAPTURE(Name);
+      CHECK(Node->Poison == std::set<std::uint64_t>{77, ~std::uint64_t(0)});
+    }
+  }
+}
+
 TEST_CASE("a daemon that starts knows the upstreams of the others at once") {
   struct start_case {
     const char *Name;
--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -405,8 +405,7 @@
   }
 }
 
-TEST_CASE("an upstream's request limit and the rate of a link are encoded, and "
-          "may be absent") {
+TEST_CASE("the optional fields of a record are encoded, and may be absent") {
   for (const std::optional<double> Limit :
        {std::optional<double>(), std::optional<double>(12.5),
         std::optional<double>(0)})
@@ -414,10 +413,16 @@
       member_record Record = member("a-1", 3, 4);
       Record.Upstream.RequestLimit = Limit;
       Record.LinkMbps = LinkMbps;
-      const auto Read = decodeMember(encodeMember(Record));
-      REQUIRE(Read.has_value());
-      CHECK(Read.value().Upstream.RequestLimit == Limit);
-      CHECK(Read.value().LinkMbps == LinkMbps);
+      for (const std::vector<std::uint64_t> &Poison :
+           {std::vector<std::uint64_t>{},
+            std::vector<std::uint64_t>{7, ~std::uint64_t(0)}}) {
+        Record.PoisonFingerprints = Poison;
+        const auto Read = decodeMember(encodeMember(Record));
+        REQUIRE(Read.has_value());
+        CHECK(Read.value().Upstream.RequestLimit == Limit);
+        CHECK(Read.value().LinkMbps == LinkMbps);
+        CHECK(Read.value().PoisonFingerprints == Poison);
+      }
     }
 }
 
--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -926,6 +926,38 @@
   (void)Target;
 }
 
+// A daemon that had restarted ran the request again.
+TEST_CASE("a request that crashes upstreams is refused by a daemon that learns "
+          "of it from others") {
+  struct poison_case {
+    const char *Name;
+    std::string Path;
+    bool Own;
+    unsigned Status;
+    std::size_t OwnPoison; // that the daemon announces
+  };
+  const poison_case Cases[] = {
+      {"condemned by others", "/book/poison", false, 503, 0},
+      {"condemned here before a restart", "/book/poison", true, 503, 1},
+      {"another request", "/book/other", true, 200, 1},
+  };
+  for (const poison_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    mesh Mesh({respondingWith("ran")});
+    auto &Target = *Mesh.Targets[0];
+    Target.run([&] {
+      Target.UpstreamClient->condemn(
+          {state::requestFingerprint("POST", "/book/poison", "b")}, Case.Own);
+    });
+    CHECK(
+        Mesh.call(shopRequest(http::verb::post, Case.Path, "b")).result_int() ==
+        Case.Status);
+    Target.run([&] {
+      CHECK(Target.UpstreamClient->poison().size() == Case.OwnPoison);
+    });
+  }
+}
+
 TEST_CASE("the hop address serves the document and rejects other requests") {
   mesh Mesh({respondingWith("x")});
   const std::string Hop = Mesh.Entry.Plane->hopAddress();
--- a/tests/poison_test.cpp
+++ b/tests/poison_test.cpp
@@ -80,6 +80,34 @@
   }
 }
 
+TEST_CASE("what another daemon has condemned is condemned here") {
+  struct condemn_case {
+    const char *Name;
+    bool SeenBefore;
+    bool SucceededBefore;
+    bool Expected;
+  };
+  for (const condemn_case &Case :
+       {condemn_case{"unknown here", false, false, true},
+        condemn_case{"one crash known here", true, false, true},
+        condemn_case{"succeeded here since a crash", true, true, false}}) {
+    CAPTURE(std::string(Case.Name));
+    poison_detector Detector;
+    if (Case.SeenBefore)
+      Detector.addSighting(sighting("a", 1), Now);
+    if (Case.SucceededBefore)
+      Detector.addSuccess(1);
+    Detector.condemn(1, Now);
+    CHECK(Detector.isPoison(1, Now) == Case.Expected);
+    CHECK_FALSE(Detector.isPoison(2, Now));
+    // Repeating it does not extend the time.
+    const time_point Later = Now + poison_detector::RetentionPeriod;
+    Detector.condemn(1, Later - milliseconds(1));
+    if (!Case.SucceededBefore)
+      CHECK_FALSE(Detector.isPoison(1, Later));
+  }
+}
+
 TEST_CASE("order and repetition of sightings do not matter") {
   const bool Passed = rc::check([] {
     std::vector<crash_sighting> Sightings;
