an outage of the platform costs few calls and datagrams

At 21 s 315 of 295 + spare daemons became relays.

Cause: when the relay of a data centre lost the platform, each other daemon there called it at once and again every 0.4 s, and as a relay sent beacons to all members, N x N of them.

Change: only the lowest relay and those that reach the platform send beacons. The others draw a time to try the platform, two in each doubling of 0.2 s, and double their pause after a failure up to 3.2 s. A relay that reaches the platform ends the attempts.

Test, failing before: fleet_agent_test/"an outage of the platform costs few calls and datagrams" (20 daemons in each of two data centres, 8 s: 798 calls of 160 allowed, 19,488 datagrams of 2,784 allowed).

Measured: fleet_agent_test and store_outage_test pass.

--- a/hyssopledge/coordination/fleet_agent.cpp
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -1,6 +1,7 @@
 #include "hyssopledge/coordination/fleet_agent.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -508,6 +509,34 @@
   return false;
 }
 
+/// Whether another member of this data centre reaches the platform.
+bool fleet_agent::hasPlatformRelay(time_point Now) const {
+  return std::any_of(Beacons.begin(), Beacons.end(), [&](const auto &Entry) {
+    const beacon &Beacon = Entry.second;
+    return Beacon.DataCentre == Options.DataCentre && Beacon.PlatformReached &&
+           Now - Beacon.At < Timing.RelayTimeout;
+  });
+}
+
+/// The delays of the members of a data centre are spread evenly over the
+/// doublings of FirstTakeoverDelay, so that however many members there are, a
+/// few try soon and a long outage costs few calls. Random, since the members
+/// that may be unable to try are not known.
+std::chrono::milliseconds fleet_agent::drawTakeoverDelay() {
+  const auto Members =
+      std::count_if(Directory.members().begin(), Directory.members().end(),
+                    [&](const auto &Entry) {
+                      return Entry.second.DataCentre == Options.DataCentre &&
+                             !Entry.second.Left;
+                    });
+  const double Doublings = state::unitInterval(Random()) *
+                           static_cast<double>(Members) /
+                           Timing.TakeoversPerDoubling;
+  constexpr double MaxDoublings = 16; // about 3.6 hours
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      Timing.FirstTakeoverDelay * std::exp2(std::min(Doublings, MaxDoublings)));
+}
+
 bool fleet_agent::isCoordinator(time_point Now) const {
   if (!IsRelay)
     return false;
@@ -537,8 +566,15 @@
   const bool RelaysKnown =
       (MembersRead && !HasLowerMember) || Now - StartedAt >= relayTimeout();
   const bool WasRelay = IsRelay;
-  const bool MustFollow = RelaysKnown && !hasLowerRelay(Now, true);
-  IsRelay = RelaysKnown && (MustFollow || !hasLowerRelay(Now, false));
+  const bool IsLowestRelay = RelaysKnown && !hasLowerRelay(Now, false);
+  if (hasPlatformRelay(Now))
+    TakeoverAt.reset();
+  else if (!TakeoverAt)
+    TakeoverAt = Now + drawTakeoverDelay();
+  const bool MayTakeOver = TakeoverAt && Now >= *TakeoverAt;
+  const bool MustFollow = RelaysKnown && !hasLowerRelay(Now, true) &&
+                          (IsLowestRelay || PlatformReached || MayTakeOver);
+  IsRelay = IsLowestRelay || (MustFollow && PlatformReached);
   if (IsRelay != WasRelay)
     log(IsRelay ? "relay_begins" : "relay_ends",
         "data_centre=" + Options.DataCentre);
@@ -633,12 +669,18 @@
   if (Lost)
     log("platform_lost", "reason=\"" + Reason + "\"");
   stopFollowing();
-  // Another relay may have to take over decisions.
+  // Another daemon may have to take over.
   if (Lost && IsRelay) {
     LastRemoteBeacon = {};
     sendBeacons(Timers.now(), true);
   }
-  NextFollow = Timers.now() + Timing.PlatformRetryDelay;
+  auto Delay = Timing.PlatformRetryDelay;
+  if (!hasLowerRelay(Timers.now(), false))
+    FollowFailures = 0;
+  for (unsigned I = 0; I < FollowFailures; ++I)
+    Delay = std::min(2 * Delay, Timing.MaxPlatformRetryDelay);
+  ++FollowFailures;
+  NextFollow = Timers.now() + Delay;
 }
 
 /// Reads all keys of operators, then watches them if this daemon follows.
--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -5,9 +5,10 @@
 ///
 /// Relays: in each data centre the daemon with the lowest name watches the
 /// platform and forwards changes, so that the number of platform calls does not
-/// grow with the fleet. A daemon that receives no beacon of a relay with a
-/// working platform becomes a relay itself. Two relays at the same time cost
-/// extra calls and are otherwise harmless.
+/// grow with the fleet. If the relay falls silent, the next daemon replaces it.
+/// If it loses the platform, other daemons try the platform, fewer and fewer as
+/// time passes, and the first that reaches it is a relay, too. Two relays at
+/// the same time cost extra calls and are otherwise harmless.
 ///
 /// Coordinator: among the relays that reach the platform, the one with the
 /// lowest name decides on rollouts. If two daemons act as coordinator, the
@@ -111,7 +112,14 @@
   /// A starting daemon reads the document from the platform if no member has
   /// delivered it, compressed, within this time.
   std::chrono::milliseconds InputReadDelay{500};
+  /// The first daemons try the platform after this time when the relay has lost
+  /// it. From then on as many try in each doubling of the time.
+  std::chrono::milliseconds FirstTakeoverDelay{200};
+  double TakeoversPerDoubling = 2;                   // of each data centre
   std::chrono::milliseconds PlatformRetryDelay{400}; // after a failed call
+  /// The delay doubles with each failure in a row up to this, except for the
+  /// lowest relay, which must notice the end of an outage soon.
+  std::chrono::milliseconds MaxPlatformRetryDelay{3200};
   std::chrono::seconds MemberLeaseTtl{600};
   std::chrono::seconds MemberRenewalInterval{200};
 };
@@ -206,6 +214,8 @@
   void tick(state::time_point Now);
   std::chrono::milliseconds relayTimeout() const;
   bool hasLowerRelay(state::time_point Now, bool RequirePlatform) const;
+  bool hasPlatformRelay(state::time_point Now) const;
+  std::chrono::milliseconds drawTakeoverDelay();
   void sendBeacons(state::time_point Now, bool Always);
   void onBeacon(const peer_message &Message, state::time_point Now);
   /// The lowest relay among those that reach the platform or, while none does,
@@ -278,6 +288,10 @@
   std::uint64_t FollowEpoch = 0; // handlers with an older value are ignored
   state::time_point StartedAt{};
   state::time_point NextFollow{};
+  unsigned FollowFailures = 0; // in a row
+  /// When to try the platform although another daemon is the relay; none while
+  /// some relay of the data centre reaches it.
+  std::optional<state::time_point> TakeoverAt;
   state::time_point NextRegister{};
   state::time_point NextMembers{};
   state::time_point NextSync{};
--- a/hyssopledge/coordination/fleet_agent_rollouts.cpp
+++ b/hyssopledge/coordination/fleet_agent_rollouts.cpp
@@ -115,6 +115,7 @@
   }
   if (Changed && Hooks.OnDirectoryChanged)
     Hooks.OnDirectoryChanged();
+  FollowFailures = 0;
   if (!std::exchange(PlatformReached, true)) {
     log("platform_reached", "revision=" + std::to_string(Read.Revision));
     // Prevents the next members in order from taking over as well.
--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -70,6 +70,7 @@
     Options.DataCentre = Name.substr(0, 1);
     Options.HopAddress = Options.ControlAddress = Name;
     Options.Incarnation = Incarnation;
+    Options.Seed = std::hash<std::string>()(Name);
     coordination::fleet_agent_hooks Hooks;
     Hooks.OnDocument = [&Added](auto Table) {
       CHECK(Table->version() > Added.LowestVersion); // never decreases
@@ -619,6 +620,46 @@
   }
 }
 
+// All daemons of a data centre called the platform and sent beacons to all
+// members.
+TEST_CASE("an outage of the platform costs few calls and datagrams") {
+  struct outage_case {
+    const char *Name;
+    std::function<void(fleet &)> Fault;
+  };
+  const outage_case Cases[] = {
+      {"the platform refuses calls", [](fleet &F) { F.Platform.Down = true; }},
+      {"the platform ends the watches only", [](fleet &) {}},
+  };
+  for (const outage_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    fleet Fleet;
+    Fleet.put("op/config", documentText(1));
+    constexpr int DaemonsInDataCentre = 20;
+    constexpr std::uint64_t DataCentres = 2;
+    for (const char *DataCentre : {"a-", "b-"})
+      for (int I = 10; I < 10 + DaemonsInDataCentre; ++I)
+        Fleet.add(DataCentre + std::to_string(I));
+    Fleet.run(milliseconds(5000));
+    constexpr std::uint64_t Seconds = 8;
+    const milliseconds Time(1000 * Seconds);
+    const unsigned DatagramsBefore = Fleet.DatagramCount;
+    Fleet.run(Time);
+    const unsigned DatagramsAtRest = Fleet.DatagramCount - DatagramsBefore;
+    const std::uint64_t Calls = Fleet.Platform.Calls;
+    Case.Fault(Fleet);
+    Fleet.Platform.breakWatches();
+    Fleet.run(Time);
+    // Ten a second for each data centre, however many daemons it has.
+    CHECK(Fleet.Platform.Calls - Calls <= 10 * Seconds * DataCentres);
+    CHECK(Fleet.DatagramCount - DatagramsBefore <= 3 * DatagramsAtRest);
+    Fleet.Platform.Down = false;
+    Fleet.put("op/config", documentText(2));
+    Fleet.run(milliseconds(2000));
+    CHECK(allHave(Fleet, 2));
+  }
+}
+
 // A relay whose only read of the statuses had failed still counted as the
 // coordinator, and decided nothing.
 TEST_CASE("a rollout is decided although the statuses can't be read at first") {
