--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -348,7 +348,7 @@
     const char *Name;
     std::function<void(fleet &)> Trouble; // after the report of a-2
   };
-  const auto Restart = [](fleet &F, std::vector<std::string> Names,
+  const auto Restart = [](fleet &F, const std::vector<std::string> &Names,
                           std::uint64_t Incarnation) {
     for (const std::string &Name : Names)
       F.remove(Name);
@@ -388,9 +388,10 @@
     Fleet->run(milliseconds(1000));
     Case.Trouble(*Fleet);
     Fleet->run(milliseconds(4000));
-    for (const auto &[Name, Node] : Fleet->Nodes) {
-      CAPTURE(Name);
-      CHECK(Node->Poison == std::set<std::uint64_t>{77, ~std::uint64_t(0)});
+    for (const auto &Item : Fleet->Nodes) {
+      CAPTURE(Item.first);
+      CHECK(Item.second->Poison ==
+            std::set<std::uint64_t>{77, ~std::uint64_t(0)});
     }
   }
 }
--- a/tests/support/kv_standin.h
+++ b/tests/support/kv_standin.h
@@ -34,8 +34,9 @@
   std::string serve(const std::string &Client) {
     auto Opened = transport::http_listener::open(
         {&Context}, "127.0.0.1:0", {},
-        [this, Client](std::shared_ptr<transport::server_exchange> Call) {
-          onCall(Client, std::move(Call));
+        [this,
+         Client](const std::shared_ptr<transport::server_exchange> &Call) {
+          onCall(Client, Call);
         });
     Listeners.push_back(std::move(Opened.value()));
     return Listeners.back()->address();
@@ -109,7 +110,7 @@
     return {};
   }
 
-  void onCall(const std::string &Client, exchange_ptr Call) {
+  void onCall(const std::string &Client, const exchange_ptr &Call) {
     const auto &Request = Call->request();
     const std::string Target(Request.target());
     const std::string Path = Target.substr(0, Target.find('?'));
--- a/tests/version_hold_test.cpp
+++ b/tests/version_hold_test.cpp
@@ -8,7 +8,6 @@
 #include <vector>
 
 using namespace hyssopledge;
-using coordination::rollout_state;
 using coordination::upstream_state;
 using std::chrono::milliseconds;
 
