a response of single-byte chunks without end is cut

Callers saw: beside a target that sent chunks of one byte without end, other callers on its machine got few responses.

Cause: the limits count body bytes and the header. Chunk framing is counted by neither, so that a response of 6 bytes on the wire for each byte of body keeps the daemon's only loop busy until the deadline of the request.

Change: a response may have 64 KB of header and framing, and as much more as it has body; then it is invalid like one over the size limit.

--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -53,6 +53,9 @@
 // Requests with at most this body are written completely before the response is
 // read.
 constexpr std::size_t SmallBodyBytes = 32 * 1024;
+// A response may have this much header and framing, and as much more as it has
+// body. One of single-byte chunks without end would keep the loop busy.
+constexpr std::size_t MaxFramingBytes = 64 * 1024;
 // Interim responses, and responses to other requests, that are skipped before
 // the response to a request.
 constexpr unsigned MaxSkippedResponses = 16;
@@ -269,26 +272,33 @@
     Parser->body_limit(Core->Options.MaxBodyBytes);
     Parser->header_limit(MaxHeaderBytes);
     Parser->skip(Request.method() == http::verb::head);
+    ReceivedBytes = 0;
     readSome();
   }
 
   void readSome() {
-    http::async_read_some(
-        Connection->Socket, Connection->Buffer, *Parser,
-        [Self = shared_from_this()](const error_code &Error, std::size_t) {
-          if (Self->Done)
-            return;
-          if (Error || Self->Parser->is_done())
-            return Self->onRead(Error);
-          if (!Self->countBody())
-            return Self->finish(
-                exchange_error::InvalidResponse,
-                "answer of " + Self->Address +
-                    ": the responses in progress are over " +
-                    std::to_string(Self->Core->Options.MaxTotalBodyBytes) +
-                    " bytes");
-          Self->readSome();
-        });
+    http::async_read_some(Connection->Socket, Connection->Buffer, *Parser,
+                          [Self = shared_from_this()](const error_code &Error,
+                                                      std::size_t Bytes) {
+                            if (Self->Done)
+                              return;
+                            if (Error || Self->Parser->is_done())
+                              return Self->onRead(Error);
+                            Self->onReadPart(Bytes);
+                          });
+  }
+
+  void onReadPart(std::size_t Bytes) {
+    if (!countBody())
+      return finish(
+          exchange_error::InvalidResponse,
+          "answer of " + Address + ": the responses in progress are over " +
+              std::to_string(Core->Options.MaxTotalBodyBytes) + " bytes");
+    ReceivedBytes += Bytes;
+    if (ReceivedBytes > 2 * CountedBytes + MaxFramingBytes)
+      return finish(exchange_error::InvalidResponse,
+                    "answer of " + Address + ": more framing than body");
+    readSome();
   }
 
   /// Returns whether the responses in progress are within their total limit.
@@ -384,7 +394,8 @@
   asio::steady_timer Timer;
   std::unique_ptr<connection> Connection;
   std::optional<http::response_parser<bounded_string_body>> Parser;
-  std::size_t CountedBytes = 0; // of this response, in Core->BodyBytes
+  std::size_t CountedBytes = 0;  // of this response, in Core->BodyBytes
+  std::size_t ReceivedBytes = 0; // of this response
   unsigned SkippedResponses = 0;
   bool MayBeWritten = false;
   bool WriteFinished = false;
--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -203,6 +203,8 @@
        "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", Chunk},
       {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
        "10000\r\n" + Chunk + "\r\n"},
+      {"chunks of one byte",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
       {"chunk extension",
        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", Chunk},
       {"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
