responses held for slow callers count against the memory budget

Cause: the total limit of 32 MB covered only responses that a pool was still reading. A complete response was no longer counted, although it stays in memory until its caller has read it. Each pool also had a limit of its own, and over it a small response of any other caller was cut, too.

Change: byte_budget, shared by the pools and listeners of a daemon. A response counts from its first byte until it is written.

Small responses are served all the while.

--- a/apps/hyssop_mesh/mesh_daemon.cpp
+++ b/apps/hyssop_mesh/mesh_daemon.cpp
@@ -104,9 +104,13 @@
 state::result<bool> mesh_daemon::start() {
   const std::uint64_t Seed = makeSeed(Settings.Instance);
 
+  const auto BodyBudget =
+      std::make_shared<transport::byte_budget>(transport::DefaultBodyBudget);
+
   transport::upstream_client_options UpstreamOptions;
   UpstreamOptions.Address = Settings.UpstreamAddress;
   UpstreamOptions.DrainGracePeriod = Settings.DrainPeriod / DrainGraceDivisor;
+  UpstreamOptions.Pool.BodyBudget = BodyBudget;
   UpstreamOptions.Pool.MaxIdlePerAddress = 64;
   UpstreamOptions.Pool.ConnectTimeout = UpstreamConnectTimeout;
   UpstreamOptions.Pool.AllowCloseDelimitedResponse = true;
@@ -153,6 +157,7 @@
   PlaneOptions.RetryBudget.Ratio = Settings.RetryBudgetRatio;
   PlaneOptions.RetryBudget.Slack = Settings.RetryBudgetSlack;
   PlaneOptions.RetryBudget.Window = Settings.RetryBudgetWindow;
+  PlaneOptions.PeerPool.BodyBudget = BodyBudget;
   PlaneOptions.PeerPool.ConnectTimeout = PeerConnectTimeout;
   PlaneOptions.PeerPool.UnackedTimeout = ConnectionUnackedTimeout;
   PlaneOptions.PeerPool.MaxIdlePerAddress = 32;
--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -53,6 +53,9 @@
 // Requests with at most this body are written completely before the response is
 // read.
 constexpr std::size_t SmallBodyBytes = 32 * 1024;
+// Responses up to this size are read also over the budget, so that large ones
+// don't end the calls of other callers.
+constexpr std::size_t SmallResponseBytes = 64 * 1024;
 // A response may have this much header and framing, and as much more as it has
 // body. One of single-byte chunks without end would keep the loop busy.
 constexpr std::size_t MaxFramingBytes = 64 * 1024;
@@ -97,8 +100,11 @@
 } // namespace
 
 struct http_client_pool::core : std::enable_shared_from_this<core> {
-  core(asio::io_context &Context, client_pool_options Options)
-      : Context(Context), Options(Options), ExpiryTimer(Context) {}
+  core(asio::io_context &Context, client_pool_options NewOptions)
+      : Context(Context), Options(std::move(NewOptions)), ExpiryTimer(Context) {
+    if (!Options.BodyBudget)
+      Options.BodyBudget = std::make_shared<byte_budget>(DefaultBodyBudget);
+  }
 
   /// Returns an idle connection to the address, null when there is none.
   std::unique_ptr<connection> acquire(const std::string &Address) {
@@ -167,7 +173,6 @@
   client_pool_options Options;
   asio::steady_timer ExpiryTimer;
   bool ExpiryTimerArmed = false;
-  std::size_t BodyBytes = 0; // of the responses that are being read
   std::unordered_map<std::string, std::deque<std::unique_ptr<connection>>> Idle;
 };
 
@@ -181,7 +186,7 @@
       : Core(std::move(Core)), Address(std::move(Address)),
         Request(std::move(Request)), Deadline(Deadline),
         Handler(std::move(Handler)), Options(std::move(Options)),
-        Timer(this->Core->Context) {}
+        Timer(this->Core->Context), HeldBytes(this->Core->Options.BodyBudget) {}
 
   void start() {
     const auto Endpoint = parseEndpoint(Address);
@@ -289,26 +294,20 @@
   }
 
   void onReadPart(std::size_t Bytes) {
-    if (!countBody())
-      return finish(
-          exchange_error::InvalidResponse,
-          "answer of " + Address + ": the responses in progress are over " +
-              std::to_string(Core->Options.MaxTotalBodyBytes) + " bytes");
     ReceivedBytes += Bytes;
-    if (ReceivedBytes > 2 * CountedBytes + MaxFramingBytes)
+    const std::size_t BodyBytes = Parser->get().body().size();
+    HeldBytes.set(BodyBytes);
+    const auto &Budget = *Core->Options.BodyBudget;
+    if (Budget.exceeded() && BodyBytes > SmallResponseBytes)
+      return finish(exchange_error::OverBudget,
+                    "answer of " + Address + ": the responses held are over " +
+                        std::to_string(Budget.limit()) + " bytes");
+    if (ReceivedBytes > 2 * BodyBytes + MaxFramingBytes)
       return finish(exchange_error::InvalidResponse,
                     "answer of " + Address + ": more framing than body");
     readSome();
   }
 
-  /// Returns whether the responses in progress are within their total limit.
-  bool countBody() {
-    const std::size_t Size = Parser->get().body().size();
-    Core->BodyBytes += Size - CountedBytes;
-    CountedBytes = Size;
-    return Core->BodyBytes <= Core->Options.MaxTotalBodyBytes;
-  }
-
   void onRead(const error_code &Error) {
     if (Error) {
       const bool Closed =
@@ -371,7 +370,7 @@
 
   void complete(exchange_result Result) {
     Done = true;
-    Core->BodyBytes -= std::exchange(CountedBytes, 0);
+    HeldBytes.set(0);
     close();
     const handler Callback = std::exchange(Handler, nullptr);
     Callback(std::move(Result));
@@ -394,7 +393,7 @@
   asio::steady_timer Timer;
   std::unique_ptr<connection> Connection;
   std::optional<http::response_parser<bounded_string_body>> Parser;
-  std::size_t CountedBytes = 0;  // of this response, in Core->BodyBytes
+  byte_share HeldBytes;
   std::size_t ReceivedBytes = 0; // of this response
   unsigned SkippedResponses = 0;
   bool MayBeWritten = false;
@@ -405,7 +404,7 @@
 
 http_client_pool::http_client_pool(asio::io_context &Context,
                                    client_pool_options Options)
-    : Core(std::make_shared<core>(Context, Options)) {}
+    : Core(std::make_shared<core>(Context, std::move(Options))) {}
 
 http_client_pool::~http_client_pool() {
   Core->ExpiryTimer.cancel();
--- a/hyssopledge/transport/http_client_pool.h
+++ b/hyssopledge/transport/http_client_pool.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "hyssopledge/state/clock.h"
+#include "hyssopledge/transport/byte_budget.h"
 #include "hyssopledge/transport/http_message.h"
 
 #include <boost/asio/io_context.hpp>
@@ -23,6 +24,8 @@
 
 namespace hyssopledge::transport {
 
+constexpr std::size_t DefaultBodyBudget = 32 * 1024 * 1024;
+
 struct client_pool_options {
   std::size_t MaxIdlePerAddress = 16; // idle connections of each address
   /// Less than listener_options::IdleTimeout, so that the server does not close
@@ -30,9 +33,11 @@
   std::chrono::seconds IdleTimeout{20};
   state::milliseconds ConnectTimeout{1000};
   std::size_t MaxBodyBytes = transport::MaxBodyBytes; // of a response
-  /// Of all responses that are being read. A response that would exceed it is
-  /// invalid.
-  std::size_t MaxTotalBodyBytes = 32 * 1024 * 1024;
+  /// For the bodies of all responses that are being read; may be shared with
+  /// other pools and listeners. Null: a budget of DefaultBodyBudget bytes of
+  /// the pool's own. A response that would exceed it ends with OverBudget,
+  /// unless it is small.
+  std::shared_ptr<byte_budget> BodyBudget;
   /// Accept responses without a length, which end when the server closes the
   /// connection.
   bool AllowCloseDelimitedResponse = false;
@@ -60,6 +65,7 @@
   Timeout,          // the deadline passed
   Cancelled,        // by client_exchange::cancel()
   InvalidResponse,  // not HTTP, over the size limit, or without a length
+  OverBudget,       // this process holds too many bytes of responses
 };
 
 struct exchange_result {
--- a/hyssopledge/transport/http_listener.cpp
+++ b/hyssopledge/transport/http_listener.cpp
@@ -27,9 +27,9 @@
 struct http_listener::core : std::enable_shared_from_this<core> {
   core(std::vector<asio::io_context *> Loops, listener_options Options,
        handler Handler)
-      : Loops(std::move(Loops)), Options(Options), Handler(std::move(Handler)),
-        Acceptor(*this->Loops.front()), AcceptRetryTimer(*this->Loops.front()),
-        Sessions(this->Loops.size()) {}
+      : Loops(std::move(Loops)), Options(std::move(Options)),
+        Handler(std::move(Handler)), Acceptor(*this->Loops.front()),
+        AcceptRetryTimer(*this->Loops.front()), Sessions(this->Loops.size()) {}
 
   void accept();
 
@@ -121,7 +121,7 @@
   exchange(const std::shared_ptr<session> &Session, http_request Request,
            bool KeepAlive, std::size_t LoopIndex)
       : Request(std::move(Request)), KeepAlive(KeepAlive), Session(Session),
-        LoopIndex(LoopIndex) {}
+        LoopIndex(LoopIndex), HeldBytes(Session->Core->Options.BodyBudget) {}
 
   //--- server_exchange --------------------------------------------------------
   const http_request &request() const override { return Request; }
@@ -136,6 +136,7 @@
       return;
     HasResponse = true;
     PendingResponse = std::move(Response);
+    HeldBytes.set(PendingResponse.body().size());
     Owner->onResponse();
   }
 
@@ -162,6 +163,7 @@
   std::weak_ptr<session> Session;
   std::size_t LoopIndex;
   std::function<void()> DisconnectHandler;
+  byte_share HeldBytes; // of PendingResponse
 };
 
 void http_listener::session::onDisconnected() {
@@ -460,8 +462,8 @@
   const auto Endpoint = parseEndpoint(Address);
   if (Endpoint.has_error())
     return Endpoint.error();
-  auto Core =
-      std::make_shared<core>(std::move(Loops), Options, std::move(Handler));
+  auto Core = std::make_shared<core>(std::move(Loops), std::move(Options),
+                                     std::move(Handler));
   error_code Error;
   Core->Acceptor.open(Endpoint.value().protocol(), Error);
   if (!Error)
--- a/hyssopledge/transport/http_listener.h
+++ b/hyssopledge/transport/http_listener.h
@@ -5,6 +5,7 @@
 
 #include "hyssopledge/state/clock.h"
 #include "hyssopledge/state/result.h"
+#include "hyssopledge/transport/byte_budget.h"
 #include "hyssopledge/transport/http_message.h"
 
 #include <atomic>
@@ -27,6 +28,8 @@
   /// written in the order of the requests. A request other than GET or HEAD
   /// waits until the responses before it are written.
   std::size_t MaxPipelinedRequests = 1;
+  /// Counts the bodies of responses until they are written. Null: none.
+  std::shared_ptr<byte_budget> BodyBudget;
 };
 
 /// One request and its response. Use it only on the loop that called the
--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -640,6 +640,7 @@
   mesh_plane *const Raw = Plane.get();
   listener_options EntryOptions;
   EntryOptions.MaxPipelinedRequests = 16;
+  EntryOptions.BodyBudget = Plane->Options.PeerPool.BodyBudget;
   auto Entry =
       http_listener::open({&Context}, Plane->Options.EntryAddress, EntryOptions,
                           [Raw](std::shared_ptr<server_exchange> Caller) {
@@ -648,6 +649,7 @@
   if (Entry.has_error())
     return Entry.error();
   listener_options HopOptions;
+  HopOptions.BodyBudget = Plane->Options.PeerPool.BodyBudget;
   auto Hop = http_listener::open(
       {&Context}, Plane->Options.HopAddress, HopOptions,
       [Raw](const std::shared_ptr<server_exchange> &Caller) {
@@ -668,6 +670,7 @@
   const state::caller_limits &Limits = Table->source().Limits;
   listener_options EntryOptions;
   EntryOptions.MaxPipelinedRequests = 16;
+  EntryOptions.BodyBudget = Options.PeerPool.BodyBudget;
   EntryOptions.MaxHeaderBytes = static_cast<std::uint32_t>(Limits.HeaderBytes);
   EntryOptions.MaxBodyBytes = Limits.BodyBytes;
   // Callers reuse connections within this limit and resend requests that
--- a/hyssopledge/transport/mesh_plane.h
+++ b/hyssopledge/transport/mesh_plane.h
@@ -42,7 +42,8 @@
   double LinkMbps = 0;      // of this instance; 0: unknown
   std::uint64_t Seed = 0;
   state::shared_retry_budget_settings RetryBudget;
-  client_pool_options PeerPool; // connections to other daemons
+  client_pool_options PeerPool; // connections to other daemons; the listeners
+                                // count against its budget, if it has one
 };
 
 struct mesh_plane_hooks {
--- a/hyssopledge/transport/upstream_client.cpp
+++ b/hyssopledge/transport/upstream_client.cpp
@@ -150,10 +150,11 @@
         Client.probe();
     } else {
       Answer.Outcome = hop_outcome::Unknown;
-      Answer.Reason = Result.Error == exchange_error::Timeout ? "timeout"
-                      : Result.Error == exchange_error::ConnectionClosed
-                          ? "upstream-cut"
-                          : "bad-answer";
+      Answer.Reason =
+          Result.Error == exchange_error::Timeout            ? "timeout"
+          : Result.Error == exchange_error::ConnectionClosed ? "upstream-cut"
+          : Result.Error == exchange_error::OverBudget       ? "memory"
+                                                             : "bad-answer";
       if (Result.Error == exchange_error::ConnectionClosed)
         Client.onConnectionClosed(Fingerprint);
       if (Result.Error == exchange_error::Timeout ||
--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -239,6 +239,51 @@
   }
 }
 
+// Each of them was kept until its caller had read it, however many there were.
+TEST_CASE("responses that wait for slow callers are bounded") {
+  constexpr std::size_t BodyBytes = 7'000'000;
+  const std::string Body(BodyBytes, 'x');
+  struct slow_case {
+    http::verb Method;
+    const char *Path;
+    unsigned Status;
+  };
+  for (const slow_case &Case :
+       {slow_case{http::verb::get, "/look/large", 200},
+        slow_case{http::verb::post, "/book/large", 500}}) {
+    CAPTURE(Case.Status);
+    mesh Mesh({[&](upstream_connection &Connection) {
+      while (const auto Request = Connection.read())
+        if (Request->target() == Case.Path)
+          Connection.respond(Body, Case.Status, SignatureField);
+        else
+          Connection.respond("small", 200, SignatureField);
+    }});
+    // None of these callers reads its response.
+    std::vector<std::unique_ptr<blocking_caller>> Callers;
+    for (int I = 0; I < 20; ++I) {
+      Callers.push_back(
+          std::make_unique<blocking_caller>(Mesh.Entry.address()));
+      Callers.back()->send(shopRequest(Case.Method, Case.Path));
+      // Other callers are served all the while.
+      const auto Small = Mesh.call(shopRequest(http::verb::get, "/look/1"));
+      CHECK(Small.body() == "small");
+    }
+    std::this_thread::sleep_for(milliseconds(500));
+    std::size_t HeldBytes = 0;
+    for (const auto &Caller : Callers) {
+      const auto Response = Caller->receive();
+      if (Response.result_int() == Case.Status)
+        HeldBytes += Response.body().size();
+      else
+        CHECK(Response.result_int() == 502);
+    }
+    // The last of them was complete when the limit was reached.
+    CHECK(HeldBytes <= transport::DefaultBodyBudget + BodyBytes);
+    CHECK(HeldBytes >= transport::DefaultBodyBudget - BodyBytes);
+  }
+}
+
 // A faulty upstream writes an earlier response once more on a kept connection,
 // while it is idle or when the next request has arrived.
 TEST_CASE(
--- a/tests/support/mesh_fixture.h
+++ b/tests/support/mesh_fixture.h
@@ -30,7 +30,10 @@
             double LinkMbps = 0)
       : Name(Name), LinkMbps(LinkMbps), Metrics(Name),
         Work(Context.get_executor()) {
+    const auto BodyBudget =
+        std::make_shared<transport::byte_budget>(transport::DefaultBodyBudget);
     transport::upstream_client_options UpstreamOptions;
+    UpstreamOptions.Pool.BodyBudget = BodyBudget;
     UpstreamOptions.Address = UpstreamAddress;
     UpstreamOptions.DrainGracePeriod = milliseconds(0);
     UpstreamOptions.Pool.AllowCloseDelimitedResponse = true;
@@ -40,6 +43,7 @@
     UpstreamClient = std::make_unique<transport::upstream_client>(
         Context, Fields, UpstreamOptions, Hooks);
     transport::mesh_plane_options Options;
+    Options.PeerPool.BodyBudget = BodyBudget;
     Options.Instance = Name;
     Options.DataCentre = "dc1";
     Options.Service = "pages";
