hyssopd: responses held for slow callers count against the memory budget

Its listener counted nothing, and each thread's pool had a limit of its own.

Change: the listener and the pools of a data plane share one byte_budget. A response that ends for it has the reason "memory" in both programs, also between two daemons.

--- a/hyssopledge/transport/data_plane.cpp
+++ b/hyssopledge/transport/data_plane.cpp
@@ -116,6 +116,9 @@
 state::result<std::unique_ptr<data_plane>>
 data_plane::open(data_plane_options Options,
                  data_plane_dependencies Dependencies, data_plane_hooks Hooks) {
+  if (!Options.Pool.BodyBudget)
+    Options.Pool.BodyBudget = std::make_shared<byte_budget>(DefaultBodyBudget);
+  Options.Listener.BodyBudget = Options.Pool.BodyBudget;
   auto Impl = std::make_unique<impl>(std::move(Options), Dependencies,
                                      std::move(Hooks));
   auto Listener = http_listener::open(
--- a/hyssopledge/transport/data_plane.h
+++ b/hyssopledge/transport/data_plane.h
@@ -65,7 +65,7 @@
   std::uint64_t Seed = 0;                     // of the random generators
   std::size_t MaxKeys = 100'000;              // idempotency keys stored
   std::size_t MaxKeyBytes = 32 * 1024 * 1024; // of responses stored for them
-  listener_options Listener;
+  listener_options Listener; // counts against the budget of Pool
   client_pool_options Pool;
   metrics *Metrics = nullptr;                  // null: not recorded
   std::shared_ptr<opentracing::Tracer> Tracer; // null: traceparent is forwarded
--- a/hyssopledge/transport/entry_call.cpp
+++ b/hyssopledge/transport/entry_call.cpp
@@ -227,7 +227,8 @@
     Attempt.Reason = TimedOut ? "timeout"
                      : Result.Error == exchange_error::InvalidResponse
                          ? "bad-answer"
-                         : "cut";
+                     : Result.Error == exchange_error::OverBudget ? "memory"
+                                                                  : "cut";
     Attempt.Response = makeErrorResponse(TimedOut ? 504 : 502, OutcomeUnknown,
                                          Attempt.Reason, Result.Detail);
     return Attempt;
--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -367,8 +367,9 @@
       Answer.Outcome = hop_outcome::Unknown;
       // The target's daemon answers at the deadline even if its upstream does
       // not, so without an answer the daemon itself or its link is slow.
-      Answer.Reason =
-          Result.Error == exchange_error::Timeout ? "peer-timeout" : "peer-cut";
+      Answer.Reason = Result.Error == exchange_error::Timeout ? "peer-timeout"
+                      : Result.Error == exchange_error::OverBudget ? "memory"
+                                                                   : "peer-cut";
       break;
     }
     onEnd(std::move(Answer));
--- a/hyssopledge/transport/target_call.cpp
+++ b/hyssopledge/transport/target_call.cpp
@@ -166,8 +166,9 @@
     if (Result.Error == exchange_error::Timeout)
       return respond(
           makeErrorResponse(504, OutcomeUnknown, "timeout", Result.Detail));
-    respond(
-        makeErrorResponse(502, OutcomeUnknown, "bad-answer", Result.Detail));
+    const char *const Reason =
+        Result.Error == exchange_error::OverBudget ? "memory" : "bad-answer";
+    respond(makeErrorResponse(502, OutcomeUnknown, Reason, Result.Detail));
   }
 
   void onResponse(http_response Response) {
--- a/tests/data_plane_test.cpp
+++ b/tests/data_plane_test.cpp
@@ -275,6 +275,36 @@
   CHECK(Wrong == 0);
 }
 
+// Each of them was kept until its caller had read it, however many there were.
+TEST_CASE("data plane: responses that wait for slow callers are bounded") {
+  constexpr std::size_t BodyBytes = 7'000'000;
+  one_hop Hop([Body = std::string(BodyBytes, 'x')](
+                  upstream_connection &Connection) {
+    while (const auto Request = Connection.read())
+      Connection.respond(Request->target() == "/look/large" ? Body : "small");
+  });
+  // None of these callers reads its response.
+  std::vector<std::unique_ptr<blocking_caller>> Callers;
+  for (int I = 0; I < 20; ++I) {
+    Callers.push_back(std::make_unique<blocking_caller>(Hop.Entry.address()));
+    Callers.back()->send(makeRequest(http::verb::get, "/look/large"));
+    // Other callers are served all the while.
+    CHECK(Hop.call(makeRequest(http::verb::get, "/look/1")).body() == "small");
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  std::size_t HeldBytes = 0;
+  for (const auto &Caller : Callers) {
+    const http_response Response = Caller->receive();
+    if (Response.result_int() == 200)
+      HeldBytes += Response.body().size();
+    else
+      CHECK(field(Response, headers::Reason) == "memory");
+  }
+  // The last of them was complete when the limit was reached.
+  CHECK(HeldBytes <= transport::DefaultBodyBudget + BodyBytes);
+  CHECK(HeldBytes >= transport::DefaultBodyBudget - BodyBytes);
+}
+
 TEST_CASE("data plane: responses without a body are framed correctly") {
   one_hop Hop([](upstream_connection &Connection) {
     while (const auto Request = Connection.read())
