tests: bounded responses are counted while all of them are held

Cause: the tests of slow callers slept 500 ms after the last request, then read.

Change: each caller waits until its response begins before the next one sends, so that all 20 are decided before the first is read. Bounds and rows are as before; the sleep is gone.

--- a/tests/data_plane_test.cpp
+++ b/tests/data_plane_test.cpp
@@ -288,10 +288,10 @@
   for (int I = 0; I < 20; ++I) {
     Callers.push_back(std::make_unique<blocking_caller>(Hop.Entry.address()));
     Callers.back()->send(makeRequest(http::verb::get, "/look/large"));
+    Callers.back()->awaitResponse();
     // Other callers are served all the while.
     CHECK(Hop.call(makeRequest(http::verb::get, "/look/1")).body() == "small");
   }
-  std::this_thread::sleep_for(std::chrono::milliseconds(500));
   std::size_t HeldBytes = 0;
   for (const auto &Caller : Callers) {
     const http_response Response = Caller->receive();
--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -265,11 +265,11 @@
       Callers.push_back(
           std::make_unique<blocking_caller>(Mesh.Entry.address()));
       Callers.back()->send(shopRequest(Case.Method, Case.Path));
+      Callers.back()->awaitResponse();
       // Other callers are served all the while.
       const auto Small = Mesh.call(shopRequest(http::verb::get, "/look/1"));
       CHECK(Small.body() == "small");
     }
-    std::this_thread::sleep_for(milliseconds(500));
     std::size_t HeldBytes = 0;
     for (const auto &Caller : Callers) {
       const auto Response = Caller->receive();
--- a/tests/support/http_fixture.h
+++ b/tests/support/http_fixture.h
@@ -233,6 +233,8 @@
     boost::system::error_code Ignored;
     asio::write(Socket, asio::buffer(Bytes), Ignored);
   }
+  /// Waits until a response begins or the connection ends.
+  void awaitResponse() { Socket.wait(asio::ip::tcp::socket::wait_read); }
   /// Returns the next response; status 0 when the connection ends before it.
   http_response receive() {
     http::response_parser<http::string_body> Parser;
