tests: a stop under load comes while all requests are accepted

Cause: "a stop under load answers all accepted requests" needs a moment with all 8 requests accepted, but each was answered 200 ms after its arrival. A log of one run shows threads that started 0.7 to 1.2 s after the others. The failed REQUIRE then ended the process, since the callers' threads were not joined.

Change: the upstream holds its responses until all requests are accepted, which is what the test is about; callers join their threads. No check was changed.

--- a/tests/mesh_shutdown_test.cpp
+++ b/tests/mesh_shutdown_test.cpp
@@ -43,6 +43,9 @@
         }
       });
   }
+  ~callers() { await(); }
+  callers(const callers &) = delete;
+  callers &operator=(const callers &) = delete;
   const std::vector<unsigned> &await() {
     for (std::thread &Thread : Threads)
       Thread.join();
@@ -72,7 +75,15 @@
   };
   for (const stop_case &Case : Cases) {
     CAPTURE(std::string(Case.Name));
-    mesh Mesh({respondingAfter(milliseconds(200))});
+    std::atomic<bool> AllAccepted{false}; // holds the responses until then
+    mesh Mesh({[&](upstream_connection &Connection) {
+      while (Connection.read()) {
+        while (!AllAccepted)
+          std::this_thread::sleep_for(milliseconds(5));
+        std::this_thread::sleep_for(milliseconds(200));
+        Connection.respond("done", 200, SignatureField);
+      }
+    }});
     constexpr unsigned Requests = 8; // twice the slots: half of them wait
     mesh_node &Stopped = Case.AtTarget ? *Mesh.Targets[0] : Mesh.Entry;
     std::size_t Accepted = 0;
@@ -83,6 +94,7 @@
         Accepted = Case.AtTarget ? Stopped.UpstreamClient->active()
                                  : Stopped.Plane->active();
       });
+    AllAccepted = true;
     REQUIRE(Accepted == Requests);
     Stopped.run([&] {
       if (Case.AtTarget)
