tests: slow callers and the end of a rollout are checked by one piece of code

Change: callAndReadLate (http_fixture.h), checkWrittenState and allowedRuns. The assertions, bounds and rows are as before; no code of the product is touched.

--- a/tests/data_plane_test.cpp
+++ b/tests/data_plane_test.cpp
@@ -283,18 +283,13 @@
     while (const auto Request = Connection.read())
       Connection.respond(Request->target() == "/look/large" ? Body : "small");
   });
-  // None of these callers reads its response.
-  std::vector<std::unique_ptr<blocking_caller>> Callers;
-  for (int I = 0; I < 20; ++I) {
-    Callers.push_back(std::make_unique<blocking_caller>(Hop.Entry.address()));
-    Callers.back()->send(makeRequest(http::verb::get, "/look/large"));
-    Callers.back()->awaitResponse();
-    // Other callers are served all the while.
-    CHECK(Hop.call(makeRequest(http::verb::get, "/look/1")).body() == "small");
-  }
   std::size_t HeldBytes = 0;
-  for (const auto &Caller : Callers) {
-    const http_response Response = Caller->receive();
+  for (const http_response &Response : callAndReadLate(
+           Hop.Entry.address(), makeRequest(http::verb::get, "/look/large"), 20,
+           [&] { // other callers are served all the while
+             CHECK(Hop.call(makeRequest(http::verb::get, "/look/1")).body() ==
+                   "small");
+           })) {
     if (Response.result_int() == 200)
       HeldBytes += Response.body().size();
     else
--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -190,6 +190,18 @@
   return Fleet;
 }
 
+/// Checks the state of the rollout that is written to the platform.
+void checkWrittenState(const fleet &Fleet, const std::string &Expected) {
+  const auto &Entries = Fleet.Platform.entries();
+  REQUIRE(Entries.contains("status/rollout/pages"));
+  CHECK(Entries.at("status/rollout/pages").Value.find(Expected) !=
+        std::string::npos);
+}
+
+/// Runs that a bad version may get: exposureShare and exposureSlack of the
+/// users.
+std::uint64_t allowedRuns(std::uint64_t AllRuns) { return AllRuns / 10 + 50; }
+
 bool allHave(const fleet &Fleet, std::uint64_t Version) {
   for (const auto &[Name, Node] : Fleet.Nodes)
     if (Fleet.version(Name) != Version)
@@ -608,10 +620,7 @@
         AddRuns(New, Rollout == nullptr ? 0 : ShareBp * 20 / 10'000 + 1,
                 Case.Bad && Step > 10);
     }
-    const auto &Entries = Fleet->Platform.entries();
-    REQUIRE(Entries.contains("status/rollout/pages"));
-    CHECK(Entries.at("status/rollout/pages").Value.find(Case.Expected) !=
-          std::string::npos);
+    checkWrittenState(*Fleet, Case.Expected);
     for (const auto &[Name, Node] : Fleet->Nodes) {
       const auto *Rollout = Node->Agent->directory().rollout("pages");
       REQUIRE(Rollout != nullptr);
@@ -730,12 +739,9 @@
       }
       AllRuns += Step < 160 ? RunsInStep : 0;
     }
-    const auto &Entries = Fleet->Platform.entries();
-    REQUIRE(Entries.contains("status/rollout/pages"));
-    CHECK(Entries.at("status/rollout/pages").Value.find(Case.Expected) !=
-          std::string::npos);
-    if (Case.Bad) // exposureShare and exposureSlack of the users
-      CHECK(NewRuns <= AllRuns / 10 + 50);
+    checkWrittenState(*Fleet, Case.Expected);
+    if (Case.Bad)
+      CHECK(NewRuns <= allowedRuns(AllRuns));
   }
 }
 
@@ -791,12 +797,9 @@
       AllRuns += Step < 160 ? 2 * RunsInStep : 0;
       NewRuns += 2 * ToNew;
     }
-    const auto &Entries = Fleet->Platform.entries();
-    REQUIRE(Entries.contains("status/rollout/pages"));
-    CHECK(Entries.at("status/rollout/pages").Value.find(Case.Expected) !=
-          std::string::npos);
-    if (Case.Bad) // exposureShare and exposureSlack of the users
-      CHECK(NewRuns <= AllRuns / 10 + 50);
+    checkWrittenState(*Fleet, Case.Expected);
+    if (Case.Bad)
+      CHECK(NewRuns <= allowedRuns(AllRuns));
   }
 }
 
@@ -856,10 +859,7 @@
         AddRuns(New, ShareBp * 20 / 10'000 + 1,
                 Case.Slow && Step > RestartStep ? 300 : 100);
     }
-    const auto &Entries = Fleet->Platform.entries();
-    REQUIRE(Entries.contains("status/rollout/pages"));
-    CHECK(Entries.at("status/rollout/pages").Value.find(Case.Expected) !=
-          std::string::npos);
+    checkWrittenState(*Fleet, Case.Expected);
   }
 }
 
--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -259,20 +259,14 @@
         else
           Connection.respond("small", 200, SignatureField);
     }});
-    // None of these callers reads its response.
-    std::vector<std::unique_ptr<blocking_caller>> Callers;
-    for (int I = 0; I < 20; ++I) {
-      Callers.push_back(
-          std::make_unique<blocking_caller>(Mesh.Entry.address()));
-      Callers.back()->send(shopRequest(Case.Method, Case.Path));
-      Callers.back()->awaitResponse();
-      // Other callers are served all the while.
-      const auto Small = Mesh.call(shopRequest(http::verb::get, "/look/1"));
-      CHECK(Small.body() == "small");
-    }
     std::size_t HeldBytes = 0;
-    for (const auto &Caller : Callers) {
-      const auto Response = Caller->receive();
+    for (const http_response &Response : callAndReadLate(
+             Mesh.Entry.address(), shopRequest(Case.Method, Case.Path), 20,
+             [&] { // other callers are served all the while
+               const auto Small =
+                   Mesh.call(shopRequest(http::verb::get, "/look/1"));
+               CHECK(Small.body() == "small");
+             })) {
       if (Response.result_int() == Case.Status)
         HeldBytes += Response.body().size();
       else
--- a/tests/support/http_fixture.h
+++ b/tests/support/http_fixture.h
@@ -271,6 +271,26 @@
   return blocking_caller(Address).call(Request);
 }
 
+/// Sends the request on Count connections, of which none is read before all
+/// have a response, and calls AfterEach after each. Returns the responses.
+template <class F>
+std::vector<http_response> callAndReadLate(const std::string &Address,
+                                           const http_request &Request,
+                                           std::size_t Count, F AfterEach) {
+  std::vector<std::unique_ptr<blocking_caller>> Callers;
+  for (std::size_t I = 0; I < Count; ++I) {
+    Callers.push_back(std::make_unique<blocking_caller>(Address));
+    Callers.back()->send(Request);
+    Callers.back()->awaitResponse();
+    AfterEach();
+  }
+  std::vector<http_response> Responses;
+  Responses.reserve(Count);
+  for (const auto &Caller : Callers)
+    Responses.push_back(Caller->receive());
+  return Responses;
+}
+
 //-----------------------------------------------------------------------------
 // Daemon
 //-----------------------------------------------------------------------------
