--- /dev/null
+++ b/hyssopledge/coordination/fleet_agent_document.cpp
@@ -0,0 +1,170 @@
+/// \file
+/// The document in the fleet agent: reads and watches of the platform, fetches
+/// from other daemons, and when a version is in force.
+#include "hyssopledge/coordination/fleet_agent.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hyssopledge::coordination {
+
+using state::time_point;
+
+void fleet_agent::startFollowing() {
+  Following = true;
+  readInput(false);
+}
+
+void fleet_agent::stopFollowing() {
+  Following = false;
+  PlatformReached = false;
+  ++FollowEpoch;
+  Watch.reset();
+}
+
+void fleet_agent::onFollowFailed(const std::string &Reason) {
+  const bool Lost = PlatformReached;
+  if (Lost)
+    log("platform_lost", "reason=\"" + Reason + "\"");
+  stopFollowing();
+  // Another daemon may have to take over.
+  if (Lost && IsRelay) {
+    LastRemoteBeacon = {};
+    sendBeacons(Timers.now(), true);
+  }
+  auto Delay = Timing.PlatformRetryDelay;
+  if (!hasLowerRelay(Timers.now(), false))
+    FollowFailures = 0;
+  for (unsigned I = 0; I < FollowFailures; ++I)
+    Delay = std::min(2 * Delay, Timing.MaxPlatformRetryDelay);
+  ++FollowFailures;
+  NextFollow = Timers.now() + Delay;
+}
+
+/// Reads all keys of operators, then watches them if this daemon follows.
+void fleet_agent::readInput(bool AllowStale) {
+  ReadingInput = InputReadAttempted = true;
+  const std::uint64_t Epoch = ++FollowEpoch;
+  const auto Handler = [this, Alive = Alive,
+                        Epoch](const state::result<platform_read> &Read) {
+    if (!*Alive)
+      return;
+    ReadingInput = false;
+    if (Read.has_error()) {
+      if (Epoch == FollowEpoch)
+        onFollowFailed(Read.error().text());
+      return;
+    }
+    NextFollow = Timers.now() + Timing.PlatformRetryDelay;
+    for (const platform_entry &Entry : Read.value().Entries)
+      onInput(Entry);
+    if (!Following || Epoch != FollowEpoch)
+      return;
+    readStatuses();
+    watchInput(Read.value().Revision);
+  };
+  if (AllowStale)
+    Platform.getAllowStale(Dialect.inputPrefix(), true, Handler);
+  else
+    Platform.get(Dialect.inputPrefix(), true, Handler);
+}
+
+void fleet_agent::watchInput(std::int64_t AfterRevision) {
+  const std::uint64_t Epoch = FollowEpoch;
+  Watch = Platform.watch(
+      Dialect.inputPrefix(), true, AfterRevision + 1,
+      [this, Alive = Alive,
+       Epoch](const state::result<std::vector<platform_event>> &Events) {
+        if (!*Alive || Epoch != FollowEpoch || !Following)
+          return;
+        if (Events.has_error())
+          return onFollowFailed(Events.error().text());
+        for (const platform_event &Event : Events.value())
+          if (!Event.Deleted)
+            onInput(Event.Entry);
+      });
+}
+
+void fleet_agent::onInput(const platform_entry &Entry) {
+  if (Entry.Key == Dialect.documentKey()) {
+    if (applyDocument(Entry.Value, "platform") && IsRelay)
+      sendBeacons(Timers.now(), true);
+  } else if (Dialect.isOrderKey(Entry.Key)) {
+    onOrder(Entry);
+  }
+}
+
+bool fleet_agent::applyDocument(const std::string &Text, const char *Source) {
+  auto Read = Dialect.parseDocument(Text);
+  if (Read.has_error()) {
+    log("document_refused", std::string("source=") + Source + " reason=\"" +
+                                Read.error().text() + "\"");
+    return false;
+  }
+  const auto &Table = Read.value();
+  if (Document && Table->version() <= Document->version())
+    return false;
+  log("document_in_force",
+      "version=" + std::to_string(Table->version()) +
+          " former=" + std::to_string(Document ? Document->version() : 0) +
+          " source=" + Source +
+          " routes=" + std::to_string(Table->source().Routes.size()));
+  Document = Table;
+  DocumentText = Text;
+  if (Hooks.OnDocument)
+    Hooks.OnDocument(Document);
+  return true;
+}
+
+/// Fetches a newer document from a relay whose beacon reported it.
+void fleet_agent::fetchNewerDocument(time_point Now) {
+  const std::uint64_t Own = Document ? Document->version() : 0;
+  const member_record *Source = nullptr;
+  std::uint64_t Newest = Own;
+  for (const auto &[Name, Beacon] : Beacons) {
+    const member_record *Member = Directory.find(Name);
+    const bool Local = Beacon.DataCentre == Options.DataCentre;
+    if (Member == nullptr || Now - Beacon.At > Timing.RelayTimeout)
+      continue;
+    if (Beacon.DocumentVersion > Newest ||
+        (Local && Beacon.DocumentVersion == Newest && Newest > Own)) {
+      Newest = Beacon.DocumentVersion;
+      Source = Member;
+    }
+  }
+  if (Source == nullptr) {
+    BehindSince = {};
+    return;
+  }
+  if (BehindSince == time_point{})
+    BehindSince = Now;
+  if (Now - BehindSince > Timing.PeerFetchTimeout && !ReadingInput &&
+      Now >= NextFollow && !Following) {
+    NextFollow = Now + Timing.PlatformRetryDelay;
+    readInput(false);
+  }
+  // The transport limits each fetch by its own timeout.
+  if (!Fetching && Now - FetchingSince >= Timing.MinFetchInterval)
+    fetchDocumentFrom(*Source);
+}
+
+void fleet_agent::fetchDocumentFrom(const member_record &Source) {
+  Fetching = true;
+  FetchingSince = Timers.now();
+  Peers.fetchDocument(
+      Source.HopAddress,
+      [this, Alive = Alive](const state::result<std::string> &Text) {
+        if (!*Alive)
+          return;
+        Fetching = false;
+        if (Text.has_error()) {
+          log("document_fetch_failed",
+              "reason=\"" + Text.error().text() + "\"");
+          return;
+        }
+        if (applyDocument(Text.value(), "peer"))
+          BehindSince = {};
+      });
+}
+
+} // namespace hyssopledge::coordination
