logs tell since when a daemon is behind, where from it reads, and why a read failed

Change: document_behind, document_older and platform_read_failed are new; document_in_force and document_fetch_failed name the peer and the times; a timed-out exchange says whether its connection was reused.

--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -229,7 +229,7 @@
   void stopFollowing();
   void onFollowFailed(const std::string &Reason);
   void onInput(const platform_entry &Entry);
-  bool applyDocument(const std::string &Text, const char *Source);
+  bool applyDocument(const std::string &Text, const std::string &Source);
   void fetchNewerDocument(state::time_point Now);
   void fetchDocumentFrom(const member_record &Source);
 
--- a/hyssopledge/coordination/fleet_agent_document.cpp
+++ b/hyssopledge/coordination/fleet_agent_document.cpp
@@ -10,6 +10,16 @@
 
 using state::time_point;
 
+namespace {
+
+std::string sinceMs(time_point Start, time_point Now) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Now - Start)
+          .count());
+}
+
+} // namespace
+
 void fleet_agent::startFollowing() {
   Following = true;
   readInput(false);
@@ -45,12 +55,18 @@
 void fleet_agent::readInput(bool AllowStale) {
   ReadingInput = InputReadAttempted = true;
   const std::uint64_t Epoch = ++FollowEpoch;
-  const auto Handler = [this, Alive = Alive,
-                        Epoch](const state::result<platform_read> &Read) {
+  const time_point Start = Timers.now();
+  const auto Handler = [this, Alive = Alive, Epoch, Start,
+                        AllowStale](const state::result<platform_read> &Read) {
     if (!*Alive)
       return;
     ReadingInput = false;
     if (Read.has_error()) {
+      log("platform_read_failed",
+          "took_ms=" + sinceMs(Start, Timers.now()) +
+              " following=" + std::to_string(Following) +
+              " maybe_old=" + std::to_string(AllowStale) + " reason=\"" +
+              Read.error().text() + "\"");
       if (Epoch == FollowEpoch)
         onFollowFailed(Read.error().text());
       return;
@@ -94,21 +110,31 @@
   }
 }
 
-bool fleet_agent::applyDocument(const std::string &Text, const char *Source) {
+bool fleet_agent::applyDocument(const std::string &Text,
+                                const std::string &Source) {
   auto Read = Dialect.parseDocument(Text);
   if (Read.has_error()) {
-    log("document_refused", std::string("source=") + Source + " reason=\"" +
-                                Read.error().text() + "\"");
+    log("document_refused",
+        "source=" + Source + " reason=\"" + Read.error().text() + "\"");
     return false;
   }
   const auto &Table = Read.value();
-  if (Document && Table->version() <= Document->version())
+  if (Document && Table->version() <= Document->version()) {
+    if (Table->version() < Document->version())
+      log("document_older", "version=" + std::to_string(Table->version()) +
+                                " in_force=" +
+                                std::to_string(Document->version()) +
+                                " source=" + Source);
     return false;
+  }
+  const time_point Now = Timers.now();
   log("document_in_force",
       "version=" + std::to_string(Table->version()) +
           " former=" + std::to_string(Document ? Document->version() : 0) +
           " source=" + Source +
-          " routes=" + std::to_string(Table->source().Routes.size()));
+          " routes=" + std::to_string(Table->source().Routes.size()) +
+          " behind_ms=" +
+          (BehindSince == time_point{} ? "0" : sinceMs(BehindSince, Now)));
   Document = Table;
   DocumentText = Text;
   if (Hooks.OnDocument)
@@ -136,8 +162,12 @@
     BehindSince = {};
     return;
   }
-  if (BehindSince == time_point{})
+  if (BehindSince == time_point{}) {
     BehindSince = Now;
+    log("document_behind", "version=" + std::to_string(Own) +
+                               " known=" + std::to_string(Newest) +
+                               " from=" + Source->Instance);
+  }
   if (Now - BehindSince > Timing.PeerFetchTimeout && !ReadingInput &&
       Now >= NextFollow && !Following) {
     NextFollow = Now + Timing.PlatformRetryDelay;
@@ -153,16 +183,18 @@
   FetchingSince = Timers.now();
   Peers.fetchDocument(
       Source.HopAddress,
-      [this, Alive = Alive](const state::result<std::string> &Text) {
+      [this, Alive = Alive, Peer = Source.Instance,
+       Start = FetchingSince](const state::result<std::string> &Text) {
         if (!*Alive)
           return;
         Fetching = false;
         if (Text.has_error()) {
           log("document_fetch_failed",
-              "reason=\"" + Text.error().text() + "\"");
+              "from=" + Peer + " took_ms=" + sinceMs(Start, Timers.now()) +
+                  " reason=\"" + Text.error().text() + "\"");
           return;
         }
-        if (applyDocument(Text.value(), "peer"))
+        if (applyDocument(Text.value(), "peer from=" + Peer))
           BehindSince = {};
       });
 }
--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -198,6 +198,7 @@
       return finishLater(exchange_error::Timeout, "the deadline has passed");
     Connection = Core->acquire(Address);
     if (Connection) {
+      Reused = true;
       startTimer(TimeLeft);
       return write();
     }
@@ -240,7 +241,8 @@
         return Self->finish(exchange_error::ConnectFailed,
                             "no connection to " + Self->Address + " in time");
       Self->finish(exchange_error::Timeout,
-                   "no whole answer from " + Self->Address + " in time");
+                   "no whole answer from " + Self->Address + " in time" +
+                       (Self->Reused ? " on a reused connection" : ""));
     });
   }
 
@@ -396,6 +398,7 @@
   byte_share HeldBytes;
   std::size_t ReceivedBytes = 0; // of this response
   unsigned SkippedResponses = 0;
+  bool Reused = false; // the connection carried an earlier request
   bool MayBeWritten = false;
   bool WriteFinished = false;
   bool WriteFailed = false;
