--- a/apps/hyssop_mesh/mesh_daemon.cpp
+++ b/apps/hyssop_mesh/mesh_daemon.cpp
@@ -26,9 +26,6 @@
 constexpr milliseconds LoopDelayToLog{250};
 constexpr milliseconds LoopDelayLogInterval{1000};
 constexpr milliseconds ShutdownCheckInterval{50};
-// A compressed document of 100 KB takes 0.1 s on a 10 Mbit/s link, and several
-// daemons fetch it at the same time.
-constexpr milliseconds DocumentFetchTimeout{1500};
 // Callers probe readiness once a second and stop sending after two answers
 // other than 200; their connections stay open until then.
 constexpr milliseconds ConnectionCloseDelay{1200};
@@ -86,7 +83,7 @@
                   if (Agent)
                     Agent->onDatagram(Datagram);
                 }),
-      Pool(Context, {}),
+      Documents(Context),
       Registry(this->Settings.Service, this->Settings.UpstreamAddress) {}
 
 mesh_daemon::~mesh_daemon() = default;
@@ -302,23 +299,7 @@
 void mesh_daemon::fetchDocument(
     const std::string &HopAddress,
     std::function<void(state::result<std::string>)> Handler) {
-  transport::http_request Request;
-  Request.version(11);
-  Request.method(boost::beast::http::verb::get);
-  Request.target(transport::mesh_plane::DocumentPath);
-  Request.set(boost::beast::http::field::host, HopAddress);
-  Pool.send(HopAddress, std::move(Request),
-            boot_clock::now() + DocumentFetchTimeout,
-            [Handler = std::move(Handler)](transport::exchange_result Result) {
-              if (Result.Outcome != transport::exchange_outcome::Complete)
-                return Handler(
-                    state::failure(state::errc::Unavailable, Result.Detail));
-              if (Result.Response.result_int() != 200)
-                return Handler(state::failure(
-                    state::errc::NotFound,
-                    "status " + std::to_string(Result.Response.result_int())));
-              Handler(transport::decompressText(Result.Response.body()));
-            });
+  Documents.fetch(HopAddress, std::move(Handler));
 }
 
 /// Coalesces updates: records may arrive in bursts, and the targets are rebuilt
--- a/apps/hyssop_mesh/mesh_daemon.h
+++ b/apps/hyssop_mesh/mesh_daemon.h
@@ -7,6 +7,7 @@
 #include "hyssopledge/coordination/upstream_registry.h"
 #include "hyssopledge/protocol/mesh_settings.h"
 #include "hyssopledge/transport/asio_timer_service.h"
+#include "hyssopledge/transport/document_client.h"
 #include "hyssopledge/transport/http_listener.h"
 #include "hyssopledge/transport/instance_dialect.h"
 #include "hyssopledge/transport/mesh_plane.h"
@@ -81,7 +82,7 @@
   transport::asio_timer_service Timers;
   transport::metrics Metrics;
   transport::udp_socket Datagrams;
-  transport::http_client_pool Pool; // document fetches
+  transport::document_client Documents;
   coordination::upstream_registry Registry;
   std::unique_ptr<transport::upstream_client> UpstreamClient;
   std::unique_ptr<transport::mesh_plane> MeshPlane;
--- a/hyssopledge/coordination/fleet_agent_document.cpp
+++ b/hyssopledge/coordination/fleet_agent_document.cpp
@@ -121,19 +121,17 @@
   const auto &Table = Read.value();
   if (Document && Table->version() <= Document->version()) {
     if (Table->version() < Document->version())
-      log("document_older", "version=" + std::to_string(Table->version()) +
-                                " in_force=" +
-                                std::to_string(Document->version()) +
-                                " source=" + Source);
+      log("document_older",
+          "version=" + std::to_string(Table->version()) + " in_force=" +
+              std::to_string(Document->version()) + " source=" + Source);
     return false;
   }
   const time_point Now = Timers.now();
   log("document_in_force",
       "version=" + std::to_string(Table->version()) +
           " former=" + std::to_string(Document ? Document->version() : 0) +
-          " source=" + Source +
-          " routes=" + std::to_string(Table->source().Routes.size()) +
-          " behind_ms=" +
+          " source=" + Source + " routes=" +
+          std::to_string(Table->source().Routes.size()) + " behind_ms=" +
           (BehindSince == time_point{} ? "0" : sinceMs(BehindSince, Now)));
   Document = Table;
   DocumentText = Text;
