--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -117,6 +117,9 @@
   std::chrono::milliseconds FirstTakeoverDelay{200};
   double TakeoversPerDoubling = 2;                   // of each data centre
   std::chrono::milliseconds PlatformRetryDelay{400}; // after a failed call
+  /// A daemon that reached the platform for this long tries again at once when
+  /// it loses it.
+  std::chrono::milliseconds MinFollowPeriod{1000};
   /// The delay doubles with each failure in a row up to this, except for the
   /// lowest relay, which must notice the end of an outage soon.
   std::chrono::milliseconds MaxPlatformRetryDelay{3200};
@@ -288,7 +291,8 @@
   std::uint64_t FollowEpoch = 0; // handlers with an older value are ignored
   state::time_point StartedAt{};
   state::time_point NextFollow{};
-  unsigned FollowFailures = 0; // in a row
+  state::time_point PlatformReachedAt{}; // the last time it became reachable
+  unsigned FollowFailures = 0;           // in a row
   /// When to try the platform although another daemon is the relay; none while
   /// some relay of the data centre reaches it.
   std::optional<state::time_point> TakeoverAt;
--- a/hyssopledge/coordination/fleet_agent_document.cpp
+++ b/hyssopledge/coordination/fleet_agent_document.cpp
@@ -48,6 +48,9 @@
   for (unsigned I = 0; I < FollowFailures; ++I)
     Delay = std::min(2 * Delay, Timing.MaxPlatformRetryDelay);
   ++FollowFailures;
+  // A connection that has worked for a while may be all that failed.
+  if (Lost && Timers.now() - PlatformReachedAt >= Timing.MinFollowPeriod)
+    Delay = {};
   NextFollow = Timers.now() + Delay;
 }
 
--- a/hyssopledge/coordination/fleet_agent_rollouts.cpp
+++ b/hyssopledge/coordination/fleet_agent_rollouts.cpp
@@ -117,6 +117,7 @@
     Hooks.OnDirectoryChanged();
   FollowFailures = 0;
   if (!std::exchange(PlatformReached, true)) {
+    PlatformReachedAt = Timers.now();
     log("platform_reached", "revision=" + std::to_string(Read.Revision));
     // Prevents the next members in order from taking over as well.
     sendBeacons(Timers.now(), true);
--- a/hyssopledge/transport/document_client.cpp
+++ b/hyssopledge/transport/document_client.cpp
@@ -12,11 +12,22 @@
 // A compressed document of 100 KB takes 0.1 s on a 10 Mbit/s link, and several
 // daemons fetch it at the same time.
 constexpr state::milliseconds FetchTimeout{1500};
+// Round trips take a few milliseconds; a daemon without power never answers.
+constexpr state::milliseconds ConnectTimeout{350};
+
+/// Without reuse of connections: changes are rare, and a connection that went
+/// silent since the last fetch would cost the next one its timeout.
+client_pool_options poolOptions() {
+  client_pool_options Options;
+  Options.MaxIdlePerAddress = 0;
+  Options.ConnectTimeout = ConnectTimeout;
+  return Options;
+}
 
 } // namespace
 
 document_client::document_client(boost::asio::io_context &Context)
-    : Pool(Context, {}) {}
+    : Pool(Context, poolOptions()) {}
 
 void document_client::fetch(const std::string &HopAddress, handler Handler) {
   http_request Request;
