a daemon that takes over from a failed relay tells all data centres at once (CONFIG)

Callers would see: an old configuration for up to a second longer, after all relays failed together around a change and the daemons with the next names in a data centre failed with them. Cause: a daemon that takes over sends beacons to the other data centres in its first tick, before it has read the document, and the next ones a second later. The other data centres wait that long for the newer version. Change: the beacons that say that it reaches the platform, with the version that it has read, go to all data centres.

--- a/hyssopledge/coordination/fleet_agent_rollouts.cpp
+++ b/hyssopledge/coordination/fleet_agent_rollouts.cpp
@@ -119,7 +119,10 @@
   if (!std::exchange(PlatformReached, true)) {
     PlatformReachedAt = Timers.now();
     log("platform_reached", "revision=" + std::to_string(Read.Revision));
-    // Prevents the next members in order from taking over as well.
+    // Prevents the next members in order from taking over as well, and tells
+    // data centres whose relays have failed, too, that there may be a newer
+    // document.
+    LastRemoteBeacon = {};
     sendBeacons(Timers.now(), true);
     announceOrders();
   }
