the first daemons try the platform 0.1 s after the relay lost it (CONFIG)

Callers would see: an old configuration for up to 0.2 s longer than they may, when half of the daemons, all relays among them, lose the store silently right before a change. Cause: a relay notices the silence after 1.5 s. Of the 2 s that a change may take, 0.5 s are left, and the first of the others tried after 0.2 to 1.1 s. Change: the first delay is 0.1 s; the number of tries in each doubling of the time stays, so an outage costs one try a data centre and doubling more.

--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -114,7 +114,7 @@
   std::chrono::milliseconds InputReadDelay{500};
   /// The first daemons try the platform after this time when the relay has lost
   /// it. From then on as many try in each doubling of the time.
-  std::chrono::milliseconds FirstTakeoverDelay{200};
+  std::chrono::milliseconds FirstTakeoverDelay{100};
   double TakeoversPerDoubling = 2;                   // of each data centre
   std::chrono::milliseconds PlatformRetryDelay{400}; // after a failed call
   /// A daemon that reached the platform for this long tries again at once when
--- a/tests/document_schedule_test.cpp
+++ b/tests/document_schedule_test.cpp
@@ -26,7 +26,7 @@
 /// Seeds of each case; SCHEDULE_SEEDS sets another count for long runs.
 std::uint64_t seeds() {
   const char *Count = std::getenv("SCHEDULE_SEEDS");
-  return Count != nullptr ? std::stoull(Count) : 50;
+  return Count != nullptr ? std::stoull(Count) : 60;
 }
 
 using strike = std::function<void(disrupted_fleet &)>;
