tests: a slow store is not taken for a silent one, and one call meets a silent connection

Cause: silent_connections_test guards the time of a whole change; a later edit could bring back one of the three causes, or take a slow store for a silent one, and still keep that time by luck. Change: kv_store_test/a slow store keeps its watch..., and two cases with real connections: a second call to the store and a second fetch of a document succeed at once after all connections went silent.

--- a/tests/kv_store_test.cpp
+++ b/tests/kv_store_test.cpp
@@ -26,7 +26,7 @@
 /// them get no response.
 class scripted_store {
 public:
-  scripted_store() {
+  explicit scripted_store(platform::kv_store_options Options = shortTimes()) {
     auto Opened = transport::http_listener::open(
         {&Context}, "127.0.0.1:0", {},
         [this](std::shared_ptr<transport::server_exchange> Call) {
@@ -39,16 +39,27 @@
           }
           const auto [Status, Body] = Responses.front();
           Responses.pop_front();
-          Call->respond(
-              transport::makeResponse(Status, "application/json", Body));
+          auto Response =
+              transport::makeResponse(Status, "application/json", Body);
+          if (ResponseDelay == milliseconds(0))
+            return Call->respond(std::move(Response));
+          auto Timer = std::make_shared<boost::asio::steady_timer>(
+              Context, ResponseDelay);
+          Timer->async_wait([Timer, Call, Response](auto) mutable {
+            Call->respond(std::move(Response));
+          });
         });
     Listener = std::move(Opened.value());
-    platform::kv_store_options Options;
     Options.Address = Listener->address();
+    Store = std::make_unique<platform::kv_store>(Context, Options);
+  }
+
+  static platform::kv_store_options shortTimes() {
+    platform::kv_store_options Options;
     Options.CallTimeout = milliseconds(200);
     Options.LongPollTimeout = milliseconds(100);
     Options.PollDelay = milliseconds(5);
-    Store = std::make_unique<platform::kv_store>(Context, Options);
+    return Options;
   }
 
   void addResponse(unsigned Status, const std::string &Body) {
@@ -67,6 +78,7 @@
   }
 
   boost::asio::io_context Context;
+  milliseconds ResponseDelay{0};
   std::unique_ptr<transport::http_listener> Listener;
   std::unique_ptr<platform::kv_store> Store;
   std::deque<std::pair<unsigned, std::string>> Responses;
@@ -265,6 +277,43 @@
         "GET /api/kv-watch?prefix=a/&after=20&waitMs=100");
 }
 
+// A longer time limit would notice a silent connection too late; a shorter one
+// would take a slow store for a silent one.
+TEST_CASE("a slow store keeps its watch, a silent one loses it soon") {
+  struct response_case {
+    const char *Name;
+    milliseconds ReadDelay;  // of the read before the watch
+    milliseconds WatchDelay; // 0: no response
+    bool Kept;
+  };
+  const response_case Cases[] = {
+      {"slow since the read", milliseconds(400), milliseconds(700), true},
+      {"silent", milliseconds(0), milliseconds(0), false},
+  };
+  platform::kv_store_options Options = scripted_store::shortTimes();
+  Options.CallTimeout = milliseconds(5000);
+  Options.MinResponseTime = milliseconds(100);
+  for (const response_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    scripted_store Store(Options);
+    Store.ResponseDelay = Case.ReadDelay;
+    Store.addResponse(200, R"({"items":[],"truncated":false,"asOf":4})");
+    REQUIRE_FALSE(get(Store, "a/", true).has_error());
+    Store.ResponseDelay = Case.WatchDelay;
+    if (Case.Kept)
+      Store.addResponse(200, R"({"events":[],"asOf":5})");
+    bool Failed = false;
+    const auto Watch = Store.Store->watch(
+        "a/", true, 5, [&](auto Result) { Failed = Result.has_error(); });
+    // The read, and two polls of a watch that is kept.
+    const std::size_t Requests = Case.Kept ? 3 : 100;
+    CHECK(Store.runUntil(
+        [&] { return Failed || Store.Requests.size() >= Requests; },
+        std::chrono::seconds(4)));
+    CHECK(Failed == !Case.Kept);
+  }
+}
+
 TEST_CASE("a watch without a response fails, a destroyed one is silent") {
   scripted_store Store;
   std::optional<state::failure> Failure;
--- a/tests/silent_connections_test.cpp
+++ b/tests/silent_connections_test.cpp
@@ -64,3 +64,57 @@
     Fleet.runFor(milliseconds(1500));
   }
 }
+
+// The second call took another connection that had gone silent with the first.
+TEST_CASE("only one call to the store meets a silent connection") {
+  boost::asio::io_context Context;
+  tests::kv_standin Server(Context);
+  tests::tcp_proxy Proxy(Context);
+  platform::kv_store_options Options;
+  Options.Address = Proxy.forward(Server.serve("a"));
+  Options.CallTimeout = milliseconds(300);
+  platform::kv_store Store(Context, Options);
+  int Succeeded = 0;
+  int Failed = 0;
+  const auto Get = [&] {
+    Store.get("op/config", false, [&](const auto &Result) {
+      ++(Result.has_error() ? Failed : Succeeded);
+    });
+  };
+  const auto RunUntil = [&](const auto &Condition) {
+    for (int Steps = 0; !Condition() && Steps < 1000; ++Steps) {
+      Context.restart();
+      Context.run_for(milliseconds(5));
+    }
+    return Condition();
+  };
+  // Two calls at a time leave two idle connections.
+  Get();
+  Get();
+  REQUIRE(RunUntil([&] { return Succeeded == 2; }));
+  Proxy.silenceConnections();
+  Get();
+  REQUIRE(RunUntil([&] { return Failed == 1; }));
+  Get();
+  CHECK(RunUntil([&] { return Succeeded == 3; }));
+  CHECK(Failed == 1);
+}
+
+// A fetch reused the connection of an earlier one and waited for its timeout.
+TEST_CASE("a document is fetched at once after all connections went silent") {
+  tests::store_fleet Fleet;
+  const auto &Source = *Fleet.Nodes.at("a-1");
+  int Succeeded = 0;
+  int Failed = 0;
+  const auto Fetch = [&] {
+    Fleet.Nodes.at("b-3")->Documents->fetch(
+        Source.Agent->self().HopAddress,
+        [&](const auto &Text) { ++(Text.has_error() ? Failed : Succeeded); });
+  };
+  Fetch();
+  REQUIRE(Fleet.runUntil([&] { return Succeeded == 1; }, milliseconds(2000)));
+  Fleet.Proxy.silenceConnections();
+  Fetch();
+  CHECK(Fleet.runUntil([&] { return Succeeded == 2; }, milliseconds(3000)));
+  CHECK(Failed == 0);
+}
