tests: the comment of the schedules says what a round is

Cause: it spoke of a strike at each fourth change; a round has three changes and its strikes come around the first. Change: the comment of play() in document_schedule_test.

--- a/tests/document_schedule_test.cpp
+++ b/tests/document_schedule_test.cpp
@@ -99,8 +99,9 @@
   Fleet.run(milliseconds(5000));
 }
 
-/// Changes close together, with one of the Strikes shortly before, at or after
-/// each fourth one. Returns the faults that were found, with the log.
+/// Four rounds of three changes close together, with the Strikes shortly
+/// before, at or after the first one. Returns the faults that were found, with
+/// the log.
 std::string play(std::uint64_t Seed, const std::vector<strike> &Strikes) {
   disrupted_fleet Fleet(Seed);
   startFifteen(Fleet);
