--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -61,6 +61,7 @@
     if (Number == SIGSTOP)
       ::waitpid(Pid, nullptr, WUNTRACED);
   }
+  pid_t pid() const { return Pid; }
   std::string readLine() const { return readUntil(OutputPipe, '\n'); }
   std::string readOutput() const { return readUntil(OutputPipe, '\0'); }
   std::string readErrors() const { return readUntil(ErrorPipe, '\0'); }
