--- a/hyssopledge/coordination/evidence.cpp
+++ b/hyssopledge/coordination/evidence.cpp
@@ -153,7 +153,8 @@
     const std::map<std::string, std::uint64_t> &Revisions) {
   std::map<std::pair<std::string, stratum_key>, evidence_counts> Sums;
   constexpr auto Relaxed = std::memory_order_relaxed;
-  for (const auto &[Key, Counters] : Table.read()->Counters) {
+  const std::shared_ptr<const table> Current = Table.read();
+  for (const auto &[Key, Counters] : Current->Counters) {
     evidence_counts Counts;
     Counts.Successes = Counters->Successes.exchange(0, Relaxed);
     Counts.Failures =
