placement and queue: speed of an upstream's machine, cold targets last

Cause: upstreams that share machines take 2.5 times as long for moments and say so in each response; the estimates used the mean run times only. Cold targets were chosen like warm ones. Change: state/work_speed relates the reported duration to its own mean and lets it decay; the slot queue's expected run times and waits follow it. Placement uses a cold target only while no warm one is expected to respond in time.

--- a/hyssopledge/state/placement.cpp
+++ b/hyssopledge/state/placement.cpp
@@ -34,6 +34,19 @@
   return std::chrono::duration<double, std::milli>(Time).count();
 }
 
+struct scored {
+  const placement_candidate *Candidate;
+  double Ms; // expected latency
+};
+
+/// Removes the cold targets while a warm one is expected to respond in time.
+void preferWarm(std::vector<scored> &Usable, double MaxMs) {
+  if (std::any_of(Usable.begin(), Usable.end(), [&](const scored &S) {
+        return !S.Candidate->Cold && S.Ms <= MaxMs;
+      }))
+    std::erase_if(Usable, [](const scored &S) { return S.Candidate->Cold; });
+}
+
 } // namespace
 
 double failure_rate::at(time_point Now) const {
@@ -67,7 +80,10 @@
   const double Slowdown = std::max(1.0, Measured.Load.SlowdownPercent / 100.0);
   const double Decay =
       std::exp(-toMs(Now - Measured.ReportedAt) / HealthDecayMs);
-  return Usual * (1 + (Slowdown - 1) * Decay);
+  const double Work = Measured.Load.WorkPercent / 100.0;
+  const double WorkDecay =
+      std::exp(-toMs(Now - Measured.ReportedAt) / LoadDecayMs);
+  return Usual * (1 + (Slowdown - 1) * Decay) * (1 + (Work - 1) * WorkDecay);
 }
 
 double placement::waitMs(const target_measurements &Measured,
@@ -95,10 +111,6 @@
 placement_choice
 placement::choose(const std::vector<placement_candidate> &Candidates,
                   const placement_query &Query, random_engine &Random) {
-  struct scored {
-    const placement_candidate *Candidate;
-    double Ms;
-  };
   std::vector<scored> Usable;
   std::vector<scored> Fallback; // unreachable or ejected
   const auto RouteMean = RouteLatencyMs.find(Query.Route);
@@ -124,6 +136,7 @@
       Query.SloTimeLeft.count() > 0
           ? static_cast<double>(Query.SloTimeLeft.count())
           : std::numeric_limits<double>::max();
+  preferWarm(Usable, SloTimeLeft * LocalSloFraction);
   const auto Best = [&](bool SameDataCentreOnly) {
     double MinMs = std::numeric_limits<double>::max();
     for (const scored &S : Usable)
--- a/hyssopledge/state/placement.h
+++ b/hyssopledge/state/placement.h
@@ -13,8 +13,11 @@
 /// - One target that fails part of its requests: its failure rate, as measured
 ///   here or reported by its own daemon, adds to its expected latency. Above
 ///   EjectionFailureRate the target is ejected for a time.
-/// - Cold targets: a target without measurements is used at once; its own
-///   daemon refuses what it can't run.
+/// - New targets: a target without measurements is used at once; its own daemon
+///   refuses what it can't run.
+/// - Cold targets that accept few requests: they get some only while no warm
+/// one
+///   is expected to respond in time.
 #pragma once
 
 #include "hyssopledge/state/clock.h"
@@ -35,6 +38,8 @@
   milliseconds ExpectedWait{0};        // of a request of the lowest priority
   std::uint32_t SlowdownPercent = 100; // current run times, of the usual ones
   std::uint32_t FailurePercent = 0;    // recent, over the runs of all callers
+  /// Expected run times by the speed of its machine, of the mean ones.
+  std::uint32_t WorkPercent = 100;
 };
 
 /// Exponentially weighted failure rate, 0..1. It decays toward 0 without new
@@ -56,6 +61,7 @@
   bool SameDataCentre = false;
   bool Reachable = true; // its daemon has responded recently
   std::uint32_t Slots = 0;
+  bool Cold = false; // accepts few requests
 };
 
 struct placement_query {
--- a/hyssopledge/state/slot_queue.cpp
+++ b/hyssopledge/state/slot_queue.cpp
@@ -93,6 +93,11 @@
   return RunTimes.mean(Request.Route, Request.DefaultRunTime);
 }
 
+milliseconds slot_queue::expectedRun(const slot_request &Request,
+                                     time_point Now) const {
+  return scaled(mean(Request), WorkSpeed.factor(Now));
+}
+
 double slot_queue::decayedExcessMs(time_point Now) const {
   const double Elapsed =
       std::chrono::duration<double, std::milli>(Now - ExcessUpdatedAt).count();
@@ -127,7 +132,7 @@
 }
 
 bool slot_queue::onTime(const slot_request &Request, time_point Now) const {
-  return Now + mean(Request) <= Request.SloDeadline;
+  return Now + expectedRun(Request, Now) <= Request.SloDeadline;
 }
 
 std::uint64_t slot_queue::rank(const slot_request &Request,
@@ -173,8 +178,9 @@
     Remaining += std::max(Run.Mean - toMilliseconds(Now - Run.Started),
                           scaled(Run.Mean, MinRemainingFraction));
   const auto Count = static_cast<std::int64_t>(Slots);
-  return std::max(RateWait,
-                  Remaining * 2 / (Count * (Count + 1)) + Ahead / Count);
+  const milliseconds SlotWait =
+      Remaining * 2 / (Count * (Count + 1)) + Ahead / Count;
+  return std::max(RateWait, scaled(SlotWait, WorkSpeed.factor(Now)));
 }
 
 milliseconds slot_queue::expectedWait(time_point Now) const {
@@ -186,7 +192,8 @@
 
 bool slot_queue::countsAsLate(const slot_request &Request, milliseconds Wait,
                               time_point Now) const {
-  return Now + Wait + mean(Request) > Request.SloDeadline && !isShort(Request);
+  return Now + Wait + expectedRun(Request, Now) > Request.SloDeadline &&
+         !isShort(Request);
 }
 
 void slot_queue::decideWait(const slot_request &Request,
@@ -203,7 +210,8 @@
   Decision.ExpectedWait = waitFor(Request, Now);
   if (Slots == 0 || Waiting.size() >= MaxWaiting)
     Decision.Reason = "full";
-  else if (Now + Decision.ExpectedWait + mean(Request) > Request.Deadline)
+  else if (Now + Decision.ExpectedWait + expectedRun(Request, Now) >
+           Request.Deadline)
     Decision.Reason = "deadline";
   else if (Running.size() < Slots && Waiting.empty() &&
            RateLimiter.waitFor(1, Now).count() == 0)
--- a/hyssopledge/state/slot_queue.h
+++ b/hyssopledge/state/slot_queue.h
@@ -20,6 +20,8 @@
 ///   is detected from runs that are still unfinished and reported to the entry
 ///   daemons. It does not shed load here: when all upstreams are slow, refusals
 ///   would only move requests between them.
+/// - Other work on the upstream's machine: expected run times follow the speed
+///   that the upstream reports, so that requests go elsewhere while it is slow.
 /// - An upstream in need that accepts a limited rate: a request starts only
 ///   with a free slot and within the rate. The expected waits include the rate,
 ///   so that what it can't serve in time is refused on arrival.
@@ -27,6 +29,7 @@
 
 #include "hyssopledge/state/clock.h"
 #include "hyssopledge/state/rate_limiter.h"
+#include "hyssopledge/state/work_speed.h"
 
 #include <cstdint>
 #include <optional>
@@ -102,6 +105,11 @@
   void setRateLimit(std::optional<double> PerSecond, time_point Now) {
     RateLimiter.setRate(PerSecond, Now);
   }
+  /// Records the upstream's report of how long work takes now, in percent of
+  /// the usual time.
+  void recordWorkPercent(double Percent, time_point Now) {
+    WorkSpeed.record(Percent, Now);
+  }
   /// Returns what admit() would decide, without changes.
   slot_decision preview(const slot_request &Request, time_point Now) const;
   /// Runs, queues or refuses a new request.
@@ -127,6 +135,9 @@
   /// Current run times as a multiple of the usual ones: at least SlowThreshold
   /// while the upstream counts as slow, otherwise 1.
   double slowdown(time_point Now) const;
+  /// Expected run times as a multiple of the mean ones, by the speed that the
+  /// upstream reports.
+  double workFactor(time_point Now) const { return WorkSpeed.factor(Now); }
   /// Recent mean run time of the route, Default before its first run.
   milliseconds meanRunTime(const std::string &Route,
                            milliseconds Default) const {
@@ -150,6 +161,8 @@
   };
 
   milliseconds mean(const slot_request &Request) const;
+  /// Expected run time, by the speed of the upstream's machine.
+  milliseconds expectedRun(const slot_request &Request, time_point Now) const;
   bool isShort(const slot_request &Request) const;
   /// Whether the request meets its SLO if it starts now.
   bool onTime(const slot_request &Request, time_point Now) const;
@@ -182,6 +195,7 @@
 
   std::uint32_t Slots = 0;
   rate_limiter RateLimiter;
+  work_speed WorkSpeed;
   std::vector<running_request> Running;
   std::vector<queued_request> Waiting;
   double OnTimeMs = 0;     // slot time of short and on-time requests, decaying
