--- a/hyssopledge/state/document.h
+++ b/hyssopledge/state/document.h
@@ -45,6 +45,10 @@
   std::optional<rollout_spec> Rollout; // away from StableVersion; empty: none
   service_limits Limits;
   std::string HealthPath; // health check of its upstreams; empty: none
+  /// Requests per second that one upstream accepts while it is cold; 0: as many
+  /// as otherwise.
+  double ColdRequestsPerSecond = 0;
+  milliseconds ColdPeriod{0}; // for which an upstream is cold after its start
 };
 
 //-----------------------------------------------------------------------------
@@ -70,7 +74,25 @@
   std::vector<traffic_share> Split; // replaces Service unless empty
   /// Latency objective: a response within it has full value. 0: none.
   milliseconds SloLatency{0};
-  std::uint32_t Priority = 0; // 0 is the highest
+  std::uint32_t Priority = 0;  // 0 is the highest
+  bool AllowAnonymous = false; // needs no API key, if the document has tenants
+};
+
+//-----------------------------------------------------------------------------
+// Tenants
+//-----------------------------------------------------------------------------
+
+/// Limit of a tenant's requests, over all daemons together.
+struct quota_limit {
+  double RequestsPerSecond = 0; // 0: no limit
+  double Burst = 0;             // requests beyond the rate
+};
+
+struct tenant_spec {
+  std::string Name;
+  std::vector<std::string> ApiKeys;
+  std::uint32_t Priority = 0; // 0 is the highest; before that of the route
+  quota_limit Quota;
 };
 
 //-----------------------------------------------------------------------------
@@ -95,6 +117,7 @@
   std::string Environment;
   std::vector<service_spec> Services;
   std::vector<route_spec> Routes;
+  std::vector<tenant_spec> Tenants; // empty: requests need no API key
   lease_spec Lease;
   caller_limits Limits;
 };
--- a/hyssopledge/state/route_table.cpp
+++ b/hyssopledge/state/route_table.cpp
@@ -19,6 +19,14 @@
   return {errc::InvalidDocument, "route \"" + Route.Name + "\": " + What};
 }
 
+/// Whether a name can be sent in a header field and in the field of a hop,
+/// whose parts are separated by '|'.
+bool isFieldText(std::string_view Name) {
+  return !Name.empty() && std::none_of(Name.begin(), Name.end(), [](char C) {
+    return static_cast<unsigned char>(C) < 0x20 || C == 0x7f || C == '|';
+  });
+}
+
 } // namespace
 
 result<std::shared_ptr<const route_table>>
@@ -50,9 +58,25 @@
              .second)
       return invalid(Route, "another route has the same host and prefix");
   }
+  const auto &Tenants = Table->Document.Tenants;
+  for (std::size_t I = 0; I < Tenants.size(); ++I) {
+    if (!isFieldText(Tenants[I].Name))
+      return failure(errc::InvalidDocument,
+                     "tenant " + std::to_string(I + 1) +
+                         ": the name must not be empty or have control "
+                         "characters or '|'");
+    for (const std::string &Key : Tenants[I].ApiKeys)
+      Table->TenantsByKey.emplace(Key, I);
+  }
   return std::shared_ptr<const route_table>(std::move(Table));
 }
 
+const tenant_spec *route_table::findTenant(std::string_view ApiKey) const {
+  const auto Found = TenantsByKey.find(ApiKey);
+  return Found == TenantsByKey.end() ? nullptr
+                                     : &Document.Tenants[Found->second];
+}
+
 const service_spec *route_table::findService(std::string_view Name) const {
   const auto Found =
       std::find_if(Document.Services.begin(), Document.Services.end(),
@@ -60,7 +84,7 @@
   return Found == Document.Services.end() ? nullptr : &*Found;
 }
 
-const route_spec *route_table::matchIn(const prefix_map &Prefixes,
+const route_spec *route_table::matchIn(const index_map &Prefixes,
                                        std::string_view Path) const {
   Path = Path.substr(0, Path.find('?'));
   while (!Path.empty()) {
--- a/hyssopledge/state/route_table.h
+++ b/hyssopledge/state/route_table.h
@@ -19,7 +19,9 @@
 public:
   /// Fails with InvalidDocument when a prefix does not begin and end with a
   /// slash, a route names an unknown service, two routes have the same host and
-  /// prefix, or weights are negative, not finite or all 0.
+  /// prefix, weights are negative, not finite or all 0, or the name of a tenant
+  /// can't be sent in a header field. If two tenants have the same key, the
+  /// first one holds it.
   static result<std::shared_ptr<const route_table>> build(std::uint64_t Version,
                                                           document Document);
 
@@ -29,6 +31,10 @@
   /// without a host match last. Host may include a port, Path a query.
   const route_spec *matchRoute(std::string_view Host,
                                std::string_view Path) const;
+  /// Whether requests need an API key.
+  bool hasTenants() const { return !Document.Tenants.empty(); }
+  /// The tenant that holds the key, or null.
+  const tenant_spec *findTenant(std::string_view ApiKey) const;
   /// The service, or null.
   const service_spec *findService(std::string_view Name) const;
 
@@ -42,15 +48,16 @@
       return std::hash<std::string_view>()(Text);
     }
   };
-  using prefix_map =
+  using index_map =
       std::unordered_map<std::string, std::size_t, text_hash, std::equal_to<>>;
 
-  const route_spec *matchIn(const prefix_map &Prefixes,
+  const route_spec *matchIn(const index_map &Prefixes,
                             std::string_view Path) const;
 
   std::uint64_t Version;
   document Document;
-  std::unordered_map<std::string, prefix_map, text_hash, std::equal_to<>> Hosts;
+  std::unordered_map<std::string, index_map, text_hash, std::equal_to<>> Hosts;
+  index_map TenantsByKey; // index in Document.Tenants
 };
 
 } // namespace hyssopledge::state
