store client: revisions rise across a restore of the store

Cause: a store that comes back from an older copy gives out its revisions again; each rule that keeps the higher revision would take newer writes for old ones. The stand-in of the store can be copied and restored.

--- a/hyssopledge/coordination/platform_store.h
+++ b/hyssopledge/coordination/platform_store.h
@@ -18,6 +18,14 @@
 
 constexpr std::size_t MaxPlatformValueBytes = 1024 * 1024;
 
+/// A store that was restored from an older copy gives out its revisions again,
+/// and its era is higher. Revisions contain the era, so that they rise across a
+/// restore.
+constexpr std::int64_t RevisionsPerEra = std::int64_t(1) << 44;
+constexpr std::int64_t eraOf(std::int64_t Revision) {
+  return Revision / RevisionsPerEra;
+}
+
 struct platform_entry {
   std::string Key;
   std::string Value;
--- a/tests/support/kv_standin.h
+++ b/tests/support/kv_standin.h
@@ -62,6 +62,39 @@
     answerWatches();
     return Revision;
   }
+  void remove(const std::string &Key) {
+    if (Items.erase(Key) == 0)
+      return;
+    History.push_back(
+        {{"key", Key}, {"revision", ++Revision}, {"tombstone", true}});
+    answerWatches();
+  }
+  bool has(const std::string &Key) const { return Items.contains(Key); }
+  /// The values of all keys with the prefix, decoded.
+  std::map<std::string, std::string> values(const std::string &Prefix) const {
+    std::map<std::string, std::string> Found;
+    for (const auto &[Key, Item] : Items)
+      if (Key.starts_with(Prefix))
+        Found[Key] = decodeBase64(Item["value"]);
+    return Found;
+  }
+
+  //--- Restore from a copy ----------------------------------------------------
+  void copy() { Copy = {Items, Revision}; }
+  /// Goes back to the copy: later writes and all leases are gone, and revisions
+  /// are given out again. Waiting calls get no response.
+  void restore() {
+    Items = Copy.Items;
+    Revision = Copy.Revision;
+    std::erase_if(Items, [](const auto &Entry) {
+      return Entry.second.value("lease", 0) != 0;
+    });
+    History.clear();
+    HistoryBegin = Revision;
+    ++Era;
+    loseWaitingResponses();
+  }
+
   std::uint64_t calls() const { return Calls; } // without stale reads
 
 private:
@@ -85,6 +118,17 @@
     return Text;
   }
 
+  static std::string decodeBase64(const std::string &Text) {
+    std::string Bytes(3 * Text.size() / 4 + 1, '\0');
+    const int Length =
+        EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Bytes.data()),
+                        reinterpret_cast<const unsigned char *>(Text.data()),
+                        static_cast<int>(Text.size()));
+    const auto Padding = std::count(Text.begin(), Text.end(), '=');
+    Bytes.resize(static_cast<std::size_t>(std::max<long>(0, Length - Padding)));
+    return Bytes;
+  }
+
   /// Value of a query parameter, with percent signs decoded.
   static std::string parameter(const std::string &Target,
                                const std::string &Name) {
@@ -135,8 +179,10 @@
                unsigned Status, const json &Body) {
     if (Silent.contains(Client))
       return Withheld.push_back(Call);
-    Call->respond(
-        transport::makeResponse(Status, "application/json", Body.dump()));
+    auto Response =
+        transport::makeResponse(Status, "application/json", Body.dump());
+    Response.set("Store-Era", std::to_string(Era));
+    Call->respond(std::move(Response));
   }
 
   void onGet(const std::string &Client, const exchange_ptr &Call,
@@ -181,6 +227,9 @@
 
   void onWatch(const std::string &Client, const exchange_ptr &Call,
                const std::string &Target) {
+    const std::int64_t After = std::stoll(parameter(Target, "after"));
+    if (After > Revision || After < HistoryBegin)
+      return respond(Client, Call, 410, json::object());
     const std::chrono::milliseconds Wait(
         std::stoi(parameter(Target, "waitMs")));
     auto Timeout = std::make_shared<boost::asio::steady_timer>(Context, Wait);
@@ -195,8 +244,8 @@
       respond(Waiting.Client, Call, 200,
               {{"events", json::array()}, {"asOf", Revision}});
     });
-    Watches.push_back({Client, Call, parameter(Target, "prefix"),
-                       std::stoll(parameter(Target, "after")), Timeout});
+    Watches.push_back(
+        {Client, Call, parameter(Target, "prefix"), After, Timeout});
     answerWatches();
   }
 
@@ -238,6 +287,12 @@
   std::map<std::string, json> Items;
   std::deque<json> History;
   std::int64_t Revision = 1;
+  std::int64_t HistoryBegin = 0; // earlier changes are not known
+  struct {
+    std::map<std::string, json> Items;
+    std::int64_t Revision = 1;
+  } Copy;
+  unsigned Era = 1;
   std::int64_t LastLease = 0;
   std::uint64_t Calls = 0;
 };
