--- a/apps/hyssop_mesh/main.cpp
+++ b/apps/hyssop_mesh/main.cpp
@@ -49,7 +49,7 @@
 }
 
 int runDaemon(const std::string &SettingsPath, bool CheckOnly,
-              transport::log_level Level) {
+              transport::log_level Level, double HedgeRatio) {
   auto Settings = loadSettings(SettingsPath);
   if (!Settings) {
     std::cerr << "hyssop_mesh: " << Settings.error().text() << "\n";
@@ -59,6 +59,7 @@
     std::cout << "settings are valid: " << SettingsPath << "\n";
     return ExitSuccess;
   }
+  Settings.value().HedgeRatio = HedgeRatio;
   // A write to a closed connection reports EPIPE instead of ending the process.
   std::signal(SIGPIPE, SIG_IGN);
   auto Logging =
@@ -110,6 +111,7 @@
   configureMalloc();
   const char *SettingsPath = nullptr;
   const char *LevelName = "info";
+  double HedgeRatio = 0;
   int CheckOnly = 0;
   int PrintVersion = 0;
   const poptOption Table[] = {
@@ -117,6 +119,10 @@
        "settings file, instead of the one that the platform names", "FILE"},
       {"log-level", 'l', POPT_ARG_STRING, &LevelName, 0,
        "trace, debug, info, warn or error", "LEVEL"},
+      {"hedge-ratio", 0, POPT_ARG_DOUBLE, &HedgeRatio, 0,
+       "second attempts for slow idempotent requests, as a fraction of these, "
+       "0 to 1; 0: none",
+       "RATIO"},
       {"check", 0, POPT_ARG_NONE, &CheckOnly, 0,
        "check the settings and exit without starting", nullptr},
       {"version", 'V', POPT_ARG_NONE, &PrintVersion, 0,
@@ -140,11 +146,13 @@
   const auto Level = transport::parseLogLevel(LevelName);
   if (Problem.empty() && Level.has_error())
     Problem = Level.error().text();
+  if (Problem.empty() && !(HedgeRatio >= 0 && HedgeRatio <= 1))
+    Problem = "--hedge-ratio must be from 0 to 1";
   if (Problem.empty() && SettingsPath == nullptr)
     Problem = "--settings FILE is needed";
   if (!Problem.empty()) {
     std::cerr << "hyssop_mesh: " << Problem << "; see --help\n";
     return ExitUsage;
   }
-  return runDaemon(SettingsPath, CheckOnly != 0, Level.value());
+  return runDaemon(SettingsPath, CheckOnly != 0, Level.value(), HedgeRatio);
 }
--- a/apps/hyssop_mesh/mesh_daemon.cpp
+++ b/apps/hyssop_mesh/mesh_daemon.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <cmath>
 #include <csignal>
+#include <optional>
 #include <utility>
 
 namespace hyssopledge::hyssop_mesh {
@@ -56,6 +57,22 @@
 constexpr milliseconds UpstreamConnectTimeout{300};
 constexpr std::chrono::minutes PoisonExpiryInterval{1};
 
+//--- Limits under untrusted callers -------------------------------------------
+// Fractions of the process's memory: for received requests, for small ones
+// beyond that, and for responses. The rest is for the process itself.
+constexpr double RequestMemoryShare = 0.45;
+constexpr double SmallRequestMemoryShare = 0.1;
+constexpr double ResponseMemoryShare = 0.2;
+// Descriptors for files and for connections of the platform.
+constexpr std::size_t ReservedDescriptors = 200;
+// Fractions of the other descriptors: for connections of callers, for those of
+// other daemons, and for calls at once, which need connections to targets.
+constexpr std::size_t EntryDescriptorDivisor = 2;
+constexpr std::size_t HopDescriptorDivisor = 4;
+constexpr std::size_t CallDescriptorDivisor = 4;
+// Connections to the addresses for probes, announcements and metrics.
+constexpr std::size_t MaxControlConnections = 32;
+
 std::uint64_t unixNowMs() {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<milliseconds>(
@@ -63,6 +80,10 @@
           .count());
 }
 
+std::size_t share(std::size_t Bytes, double Share) {
+  return static_cast<std::size_t>(static_cast<double>(Bytes) * Share);
+}
+
 /// Returns a random seed that differs between daemons and between restarts.
 std::uint64_t makeSeed(const std::string &Instance) {
   return std::hash<std::string>()(Instance) ^
@@ -101,8 +122,9 @@
 state::result<bool> mesh_daemon::start() {
   const std::uint64_t Seed = makeSeed(Settings.Instance);
 
-  const auto BodyBudget =
-      std::make_shared<transport::byte_budget>(transport::DefaultBodyBudget);
+  const auto BodyBudget = std::make_shared<transport::byte_budget>(
+      std::min(transport::DefaultBodyBudget,
+               share(Settings.MemoryBytes, ResponseMemoryShare)));
 
   transport::upstream_client_options UpstreamOptions;
   UpstreamOptions.Address = Settings.UpstreamAddress;
@@ -155,6 +177,19 @@
   PlaneOptions.RetryBudget.Slack = Settings.RetryBudgetSlack;
   PlaneOptions.RetryBudget.Window = Settings.RetryBudgetWindow;
   PlaneOptions.PeerPool.BodyBudget = BodyBudget;
+  PlaneOptions.ReceiveBudget =
+      std::make_shared<state::receive_budget>(state::receive_limits{
+          share(Settings.MemoryBytes, RequestMemoryShare),
+          share(Settings.MemoryBytes, SmallRequestMemoryShare)});
+  // Small limits leave at least one half to connections.
+  const std::size_t Descriptors =
+      std::max(Settings.MaxDescriptors / 2,
+               Settings.MaxDescriptors -
+                   std::min(Settings.MaxDescriptors, ReservedDescriptors));
+  PlaneOptions.MaxEntryConnections = Descriptors / EntryDescriptorDivisor;
+  PlaneOptions.MaxHopConnections = Descriptors / HopDescriptorDivisor;
+  PlaneOptions.MaxCalls = Descriptors / CallDescriptorDivisor;
+  PlaneOptions.HedgeRatio = Settings.HedgeRatio;
   PlaneOptions.PeerPool.ConnectTimeout = PeerConnectTimeout;
   PlaneOptions.PeerPool.UnackedTimeout = ConnectionUnackedTimeout;
   PlaneOptions.PeerPool.MaxIdlePerAddress = 32;
@@ -165,6 +200,20 @@
       CompressedDocument = transport::compressText(Agent->documentText());
     return CompressedDocument;
   };
+  PlaneHooks.AcquireQuota = [this](const state::tenant_spec &Tenant,
+                                   transport::quota_handler Handler) {
+    Quotas->acquire(Tenant.Name, [Handler = std::move(Handler)](
+                                     coordination::quota_result Result,
+                                     milliseconds RetryAfter) {
+      Handler(Result == coordination::quota_result::Granted
+                  ? transport::quota_decision::Granted
+              : Result == coordination::quota_result::Exceeded
+                  ? transport::quota_decision::Exceeded
+                  : transport::quota_decision::Unavailable,
+              RetryAfter);
+    });
+  };
+  openQuotas();
   auto Opened = transport::mesh_plane::open(
       Context, std::move(PlaneOptions), std::move(PlaneHooks),
       Adapter.CallDialect, *UpstreamClient, Metrics);
@@ -176,7 +225,10 @@
       [&](std::unique_ptr<transport::http_listener> &Listener,
           const std::string &Address,
           transport::http_listener::handler Handler) -> state::result<bool> {
-    auto Bound = transport::http_listener::open({&Context}, Address, {},
+    transport::listener_options Options;
+    Options.MaxConnections = MaxControlConnections;
+    Options.EvictsWaitingConnections = true;
+    auto Bound = transport::http_listener::open({&Context}, Address, Options,
                                                 std::move(Handler));
     if (Bound.has_error())
       return Bound.error();
@@ -214,10 +266,11 @@
   coordination::fleet_agent_hooks AgentHooks;
   AgentHooks.OnDocument =
       [this](std::shared_ptr<const state::route_table> Table) {
-        Metrics.setVersions(Table->version(), Table->version());
-        CompressedDocument.clear();
-        MeshPlane->setDocument(std::move(Table));
+        onDocument(std::move(Table));
       };
+  AgentHooks.OnQuota = [this](const coordination::peer_message &Message) {
+    Quotas->onMessage(Message);
+  };
   AgentHooks.OnDirectoryChanged = [this] { onDirectoryChanged(); };
   AgentHooks.OnCrash =
       [this](const std::vector<state::crash_sighting> &Sightings) {
@@ -234,11 +287,14 @@
     if (Current.Name == Former.Name &&
         Current.StartUnixMs == Former.StartUnixMs)
       UpstreamClient->restoreRequestLimit(Former.RequestLimit);
-    if (Changed)
+    if (Changed) {
+      UpstreamClient->setCold(Former.Cold ? ColdPeriod : milliseconds(0));
       onUpstreamChanged("", true);
+    }
   };
   AgentHooks.OnPeerAlive = [this](const std::string &Instance) {
     MeshPlane->onPeerAlive(Instance);
+    Quotas->onPeerAlive(Instance);
   };
   AgentHooks.RouteCounts = [this] { return UpstreamClient->routeCounts(); };
   AgentHooks.Log = [](std::string_view Event, const std::string &Fields) {
@@ -302,6 +358,39 @@
   Documents.fetch(HopAddress, std::move(Handler));
 }
 
+void mesh_daemon::openQuotas() {
+  coordination::quota_agent_options Options;
+  Options.Instance = Settings.Instance;
+  Options.ControlAddress = Settings.PeerAddress;
+  Options.Tolerance = {Settings.QuotaOverage, Settings.QuotaSlack};
+  coordination::quota_agent_hooks Hooks;
+  Hooks.Send = [this](const std::string &ControlAddress,
+                      const coordination::peer_message &Message) {
+    for (const std::string &Datagram : coordination::encodeDatagrams(Message))
+      Datagrams.send(ControlAddress, Datagram);
+  };
+  Hooks.Log = [](std::string_view Event, const std::string &Fields) {
+    transport::logLine(log_level::Info,
+                       "event=" + std::string(Event) + " " + Fields);
+  };
+  Quotas = std::make_unique<coordination::quota_agent>(
+      std::move(Options), std::move(Hooks), Timers);
+}
+
+void mesh_daemon::onDocument(std::shared_ptr<const state::route_table> Table) {
+  Metrics.setVersions(Table->version(), Table->version());
+  CompressedDocument.clear();
+  std::optional<double> ColdLimit;
+  if (const auto *Service = Table->findService(Settings.Service)) {
+    ColdPeriod = Service->ColdPeriod;
+    if (Service->ColdRequestsPerSecond > 0)
+      ColdLimit = Service->ColdRequestsPerSecond;
+  }
+  UpstreamClient->setColdLimit(ColdLimit, ColdPeriod);
+  Quotas->setTenants(Table->source().Tenants);
+  MeshPlane->setDocument(std::move(Table));
+}
+
 /// Coalesces updates: records may arrive in bursts, and the targets are rebuilt
 /// once after each burst.
 void mesh_daemon::onDirectoryChanged() {
@@ -314,6 +403,8 @@
   DirectoryUpdatePending = false;
   const auto &Directory = Agent->directory();
   MeshPlane->setDirectory(Directory);
+  Quotas->setDirectory(Directory);
+  UpstreamClient->setEvacuated(Directory.isEvacuated(Settings.DataCentre));
   if (const auto *Rollout = Directory.rollout(Settings.Service);
       Rollout != nullptr &&
       Rollout->State == coordination::rollout_state::Running)
@@ -395,6 +486,8 @@
           Result.error().text()));
     }
     Effect = Result.value();
+    if (Effect != coordination::registry_update::Outdated)
+      UpstreamClient->setCold(Announcement.ColdRemaining);
   }
   if (Effect == coordination::registry_update::Changed) {
     // Publishes the change to other daemons before acknowledging the call.
@@ -449,6 +542,7 @@
 void mesh_daemon::leaveFleet() {
   HasLeftFleet = true;
   UpstreamClient->refuseNewCalls();
+  Quotas->leave();
   Agent->leave(Registry.record().State == coordination::upstream_state::Gone);
 }
 
--- a/apps/hyssop_mesh/mesh_daemon.h
+++ b/apps/hyssop_mesh/mesh_daemon.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "hyssopledge/coordination/fleet_agent.h"
+#include "hyssopledge/coordination/quota_agent.h"
 #include "hyssopledge/coordination/upstream_registry.h"
 #include "hyssopledge/protocol/mesh_settings.h"
 #include "hyssopledge/transport/asio_timer_service.h"
@@ -62,6 +63,8 @@
   void onInstanceCall(const std::shared_ptr<transport::server_exchange> &Call);
   void
   onReadinessProbe(const std::shared_ptr<transport::server_exchange> &Call);
+  void onDocument(std::shared_ptr<const state::route_table> Table);
+  void openQuotas();
   void onDirectoryChanged();
   void applyDirectory();
   void publishUpstream(bool AcceptsConnections);
@@ -87,6 +90,7 @@
   std::unique_ptr<transport::upstream_client> UpstreamClient;
   std::unique_ptr<transport::mesh_plane> MeshPlane;
   std::unique_ptr<coordination::fleet_agent> Agent;
+  std::unique_ptr<coordination::quota_agent> Quotas;
   std::unique_ptr<transport::http_listener> ReadinessListener;
   std::unique_ptr<transport::http_listener> UpstreamControlListener;
   std::unique_ptr<transport::http_listener> MetricsListener;
@@ -94,6 +98,7 @@
   std::unique_ptr<state::timer_subscription> PoisonTimer;
   std::unique_ptr<state::timer_subscription> ShutdownTimer;
   std::string CompressedDocument; // cache for peers; empty: not compressed yet
+  state::milliseconds ColdPeriod{0}; // of the local upstream's service
   state::time_point LimitPublishedAt{};
   state::time_point LastLogFlush{};
   state::time_point LastLoopDelayLog{};
--- a/hyssopledge/coordination/fleet_agent.cpp
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -144,6 +144,8 @@
     All.Members.push_back(Member);
   for (const auto &[Name, Rollout] : Directory.rollouts())
     All.Rollouts.push_back(Rollout);
+  for (const auto &[DataCentre, Evacuation] : Directory.evacuations())
+    All.Evacuations.push_back(Evacuation);
   for (const peer_message &Part : splitRecords(All))
     sendTo(ControlAddress, Part);
 }
@@ -263,6 +265,7 @@
         }
         if (!Result.value().Succeeded)
           return readFormerRecord(Key);
+        onStoreRevision(Result.value().Revision);
         FormerRecordRead = true;
         Registered = true;
         NextRegister = Timers.now() + Timing.MemberRenewalInterval;
@@ -325,6 +328,7 @@
 }
 
 void fleet_agent::onMembersRead(const platform_read &Read, bool AllowStale) {
+  onStoreRevision(Read.Revision);
   std::vector<member_record> Records;
   for (const platform_entry &Entry : Read.Entries) {
     auto Record = decodeMember(Entry.Value);
@@ -455,6 +459,7 @@
     }
     if (Changed && Hooks.OnDirectoryChanged)
       Hooks.OnDirectoryChanged();
+    mergeEvacuations(Message.Evacuations);
     return onRecordsPart(Message);
   }
   case peer_message_kind::Sync:
@@ -470,6 +475,11 @@
                                          Message.Counts,
                                          {},
                                          Now});
+  case peer_message_kind::QuotaAsk:
+  case peer_message_kind::QuotaGrant:
+    if (Hooks.OnQuota)
+      Hooks.OnQuota(Message);
+    return;
   case peer_message_kind::Crash:
     if (Hooks.OnCrash)
       Hooks.OnCrash(Message.Sightings);
@@ -617,6 +627,7 @@
   Message.PlatformReached = PlatformReached;
   Message.DocumentVersion = Document ? Document->version() : 0;
   Message.Digest = Directory.digest();
+  Message.StoreEra = StoreEra.value_or(0);
   const std::string Datagram = encodePeerMessage(Message);
   for (const auto &[Name, Member] : Directory.members()) {
     if (Name == Options.Instance || Member.Left)
@@ -645,6 +656,8 @@
   Beacon.PlatformReached = Message.PlatformReached;
   Beacon.DocumentVersion = Message.DocumentVersion;
   Beacon.Digest = Message.Digest;
+  if (Message.StoreEra > 0)
+    onStoreEra(Message.StoreEra);
   fetchNewerDocument(Now);
 }
 
--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -69,6 +69,8 @@
   /// Called with the state of this daemon's upstream that other members know
   /// from before its start, and again for each later state.
   std::function<void(const upstream_record &Former)> OnFormerUpstream;
+  /// Called with messages about quotas.
+  std::function<void(const peer_message &)> OnQuota;
   /// Called when a datagram arrives from the member.
   std::function<void(const std::string &Instance)> OnPeerAlive;
   /// Returns the runs that this daemon counted at its upstream since the order.
@@ -125,6 +127,9 @@
   std::chrono::milliseconds MaxPlatformRetryDelay{3200};
   std::chrono::seconds MemberLeaseTtl{600};
   std::chrono::seconds MemberRenewalInterval{200};
+  /// After a restore of the platform's store the members write their records
+  /// again, spread over this time.
+  std::chrono::milliseconds RestoreSpread{2000};
 };
 
 class fleet_agent {
@@ -232,12 +237,18 @@
   void stopFollowing();
   void onFollowFailed(const std::string &Reason);
   void onInput(const platform_entry &Entry);
+  void mergeEvacuations(const std::vector<evacuation_record> &Records);
+  void endMissingEvacuations(const platform_read &Read);
+  void onStoreRevision(std::int64_t Revision);
+  void onStoreEra(std::uint64_t Era);
   bool applyDocument(const std::string &Text, const std::string &Source);
   void fetchNewerDocument(state::time_point Now);
   void fetchDocumentFrom(const member_record &Source);
 
   //--- Rollouts ---------------------------------------------------------------
   void onOrder(const platform_entry &Entry);
+  std::uint64_t orderRevision(const rollout_order &Order,
+                              const platform_entry &Entry) const;
   void announceOrders();
   void readStatuses();
   void onStatuses(const platform_read &Read);
@@ -287,6 +298,7 @@
   bool PreferRemote = true; // alternates between requests for records
   bool IsRelay = false;
   std::int64_t Lease = 0;
+  std::optional<std::uint64_t> StoreEra; // latest one known
   std::unique_ptr<platform_watch> Watch;
   std::uint64_t FollowEpoch = 0; // handlers with an older value are ignored
   state::time_point StartedAt{};
--- a/hyssopledge/coordination/fleet_agent_document.cpp
+++ b/hyssopledge/coordination/fleet_agent_document.cpp
@@ -75,8 +75,11 @@
       return;
     }
     NextFollow = Timers.now() + Timing.PlatformRetryDelay;
+    onStoreRevision(Read.value().Revision);
     for (const platform_entry &Entry : Read.value().Entries)
       onInput(Entry);
+    if (!AllowStale)
+      endMissingEvacuations(Read.value());
     if (!Following || Epoch != FollowEpoch)
       return;
     readStatuses();
@@ -98,9 +101,16 @@
           return;
         if (Events.has_error())
           return onFollowFailed(Events.error().text());
-        for (const platform_event &Event : Events.value())
+        for (const platform_event &Event : Events.value()) {
+          const std::string DataCentre =
+              Dialect.evacuatedDataCentre(Event.Entry.Key);
           if (!Event.Deleted)
             onInput(Event.Entry);
+          else if (!DataCentre.empty())
+            mergeEvacuations(
+                {{DataCentre,
+                  static_cast<std::uint64_t>(Event.Entry.ModRevision), false}});
+        }
       });
 }
 
@@ -110,9 +120,73 @@
       sendBeacons(Timers.now(), true);
   } else if (Dialect.isOrderKey(Entry.Key)) {
     onOrder(Entry);
+  } else if (const std::string DataCentre =
+                 Dialect.evacuatedDataCentre(Entry.Key);
+             !DataCentre.empty()) {
+    mergeEvacuations(
+        {{DataCentre, static_cast<std::uint64_t>(Entry.ModRevision), true}});
   }
 }
 
+/// Passes new records on to all members if this daemon reads the platform.
+void fleet_agent::mergeEvacuations(
+    const std::vector<evacuation_record> &Records) {
+  peer_message Message = message(peer_message_kind::Records);
+  for (const evacuation_record &Record : Records)
+    if (Directory.merge(Record)) {
+      log("evacuation", "data_centre=" + Record.DataCentre +
+                            " active=" + std::to_string(Record.Active) +
+                            " revision=" + std::to_string(Record.Revision));
+      Message.Evacuations.push_back(Record);
+    }
+  if (Message.Evacuations.empty())
+    return;
+  if (Following)
+    broadcast(Message);
+  if (Hooks.OnDirectoryChanged)
+    Hooks.OnDirectoryChanged();
+}
+
+/// Ends the evacuations whose keys the platform no longer has.
+void fleet_agent::endMissingEvacuations(const platform_read &Read) {
+  std::vector<evacuation_record> Ended;
+  const auto Revision = static_cast<std::uint64_t>(Read.Revision);
+  for (const auto &[DataCentre, Known] : Directory.evacuations())
+    if (Known.Active && Known.Revision <= Revision &&
+        std::none_of(Read.Entries.begin(), Read.Entries.end(),
+                     [&](const platform_entry &Entry) {
+                       return Dialect.evacuatedDataCentre(Entry.Key) ==
+                              DataCentre;
+                     }))
+      Ended.push_back({DataCentre, Revision, false});
+  mergeEvacuations(Ended);
+}
+
+void fleet_agent::onStoreRevision(std::int64_t Revision) {
+  onStoreEra(static_cast<std::uint64_t>(eraOf(Revision)));
+}
+
+/// Writes this daemon's record again when the store has been restored from an
+/// older copy: the lease and the record may be lost.
+void fleet_agent::onStoreEra(std::uint64_t Era) {
+  if (StoreEra && Era <= *StoreEra)
+    return;
+  if (!std::exchange(StoreEra, Era))
+    return; // the first one
+  log("store_restored", "era=" + std::to_string(Era));
+  if (!Registered && Lease == 0)
+    return;
+  Lease = 0;
+  Registered = false;
+  // Any later record on the platform is this daemon's own, from before.
+  FormerRecordRead = true;
+  NextRegister =
+      Timers.now() +
+      std::chrono::milliseconds(state::uniformBelow(
+          Random,
+          static_cast<std::uint64_t>(Timing.RestoreSpread.count()) + 1));
+}
+
 bool fleet_agent::applyDocument(const std::string &Text,
                                 const std::string &Source) {
   auto Read = Dialect.parseDocument(Text);
--- a/hyssopledge/coordination/fleet_agent_rollouts.cpp
+++ b/hyssopledge/coordination/fleet_agent_rollouts.cpp
@@ -33,7 +33,7 @@
         "key=" + Entry.Key + " reason=\"" + Order.error().text() + "\"");
     return;
   }
-  const auto Revision = static_cast<std::uint64_t>(Entry.ModRevision);
+  const std::uint64_t Revision = orderRevision(Order.value(), Entry);
   followed_order &Followed = Orders[Order.value().Service];
   if (Followed.Revision >= Revision)
     return;
@@ -53,6 +53,20 @@
     announceOrders();
 }
 
+/// Returns the revision that identifies the order. After a restore of the
+/// store an order that was known before keeps its earlier revision; a finished
+/// rollout must not begin again.
+std::uint64_t fleet_agent::orderRevision(const rollout_order &Order,
+                                         const platform_entry &Entry) const {
+  const auto Revision = static_cast<std::uint64_t>(Entry.ModRevision);
+  const rollout_record *Known = Directory.rollout(Order.Service);
+  const bool IsKnown = Known != nullptr &&
+                       Known->ToVersion == Order.ToVersion &&
+                       eraOf(static_cast<std::int64_t>(Known->OrderRevision)) <
+                           eraOf(Entry.ModRevision);
+  return IsKnown ? Known->OrderRevision : Revision;
+}
+
 /// Makes the orders known to all members, so that they send nothing to a new
 /// version before the coordinator has decided. Any relay does so, since the
 /// coordinator may be the one that the platform does not respond to.
@@ -91,6 +105,16 @@
 void fleet_agent::onStatuses(const platform_read &Read) {
   StatusesRead = true;
   bool Changed = false;
+  // States that a restored store has lost are written again.
+  for (auto &[Service, Followed] : Orders) {
+    const std::string Key = Dialect.statusKey(Service);
+    if (std::none_of(
+            Read.Entries.begin(), Read.Entries.end(),
+            [&](const platform_entry &Entry) { return Entry.Key == Key; })) {
+      Followed.Written.reset();
+      StatusRevisions.erase(Service);
+    }
+  }
   for (const platform_entry &Entry : Read.Entries) {
     auto Status = Dialect.parseStatus(Entry.Key, Entry.Value);
     if (Status.has_error()) {
@@ -104,7 +128,9 @@
     const auto Followed = Orders.find(Record.Service);
     if (Followed == Orders.end() ||
         Followed->second.Order.ToVersion != Record.ToVersion ||
-        Revision < Followed->second.Revision)
+        (Revision < Followed->second.Revision &&
+         eraOf(Entry.ModRevision) ==
+             eraOf(static_cast<std::int64_t>(Followed->second.Revision))))
       continue;
     Followed->second.Written = Record.State;
     if (Record.State == rollout_state::Running)
--- a/hyssopledge/coordination/fleet_directory.cpp
+++ b/hyssopledge/coordination/fleet_directory.cpp
@@ -31,6 +31,10 @@
                     Record.ShareBp);
 }
 
+std::uint64_t hashOf(const evacuation_record &Record) {
+  return hashOf(Record.DataCentre, Record.Revision, Record.Active ? 1 : 0, 1);
+}
+
 } // namespace
 
 bool fleet_directory::merge(const member_record &Record) {
@@ -66,6 +70,18 @@
   return true;
 }
 
+bool fleet_directory::merge(const evacuation_record &Record) {
+  const auto [Known, New] = Evacuations.try_emplace(Record.DataCentre, Record);
+  if (!New) {
+    if (Record.Revision <= Known->second.Revision)
+      return false;
+    Digest -= hashOf(Known->second);
+    Known->second = Record;
+  }
+  Digest += hashOf(Record);
+  return true;
+}
+
 const member_record *fleet_directory::find(const std::string &Instance) const {
   const auto Found = Members.find(Instance);
   return Found == Members.end() ? nullptr : &Found->second;
--- a/hyssopledge/coordination/fleet_directory.h
+++ b/hyssopledge/coordination/fleet_directory.h
@@ -59,11 +59,20 @@
   std::uint32_t ShareBp = 0; // share of calls to ToVersion, in 1/10,000
 };
 
+/// An operator's order that nothing may be sent to the upstreams of a data
+/// centre, or its end.
+struct evacuation_record {
+  std::string DataCentre;
+  std::uint64_t Revision = 0; // of the store, at the order or its end
+  bool Active = false;
+};
+
 class fleet_directory {
 public:
   /// Returns whether the record replaced an older one or is new.
   bool merge(const member_record &Record);
   bool merge(const rollout_record &Record);
+  bool merge(const evacuation_record &Record);
 
   const std::map<std::string, member_record> &members() const {
     return Members;
@@ -71,6 +80,13 @@
   const std::map<std::string, rollout_record> &rollouts() const {
     return Rollouts;
   }
+  const std::map<std::string, evacuation_record> &evacuations() const {
+    return Evacuations;
+  }
+  bool isEvacuated(const std::string &DataCentre) const {
+    const auto Found = Evacuations.find(DataCentre);
+    return Found != Evacuations.end() && Found->second.Active;
+  }
   const member_record *find(const std::string &Instance) const;
   const rollout_record *rollout(const std::string &Service) const;
   /// Number of members that have not left.
@@ -80,7 +96,8 @@
 
 private:
   std::map<std::string, member_record> Members;
-  std::map<std::string, rollout_record> Rollouts; // by service
+  std::map<std::string, rollout_record> Rollouts;       // by service
+  std::map<std::string, evacuation_record> Evacuations; // by data centre
   std::uint64_t Digest = 0;
 };
 
--- a/hyssopledge/coordination/operator_dialect.h
+++ b/hyssopledge/coordination/operator_dialect.h
@@ -29,6 +29,9 @@
   virtual std::string inputPrefix() const = 0; // of all keys of operators
   virtual std::string documentKey() const = 0;
   virtual bool isOrderKey(std::string_view Key) const = 0;
+  /// The data centre to whose upstreams nothing may be sent while the key
+  /// exists; empty: the key is not that of an evacuation.
+  virtual std::string evacuatedDataCentre(std::string_view Key) const = 0;
   virtual std::string statusPrefix() const = 0;
   virtual std::string statusKey(const std::string &Service) const = 0;
   virtual std::string membersPrefix() const = 0; // records of daemons
--- a/hyssopledge/coordination/peer_message.cpp
+++ b/hyssopledge/coordination/peer_message.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 // MessagePack needs up to this many bytes more than for an empty list or 0: 4
-// for the lengths of two lists each, and 4 for Part and Parts each.
-constexpr std::size_t MaxGrowthOfHead = 16;
+// for the lengths of three lists each, and 4 for Part and Parts each.
+constexpr std::size_t MaxGrowthOfHead = 20;
 // Encodes that an upstream has no request limit, in requests per second.
 constexpr double NoRequestLimit = 1e15;
 
@@ -83,6 +83,18 @@
   return R;
 }
 
+json toJson(const evacuation_record &R) {
+  return json::array({R.DataCentre, R.Revision, R.Active});
+}
+
+evacuation_record evacuationFrom(const json &J) {
+  evacuation_record R;
+  R.DataCentre = J.at(0).get<std::string>();
+  R.Revision = J.at(1).get<std::uint64_t>();
+  R.Active = J.at(2).get<bool>();
+  return R;
+}
+
 json toJson(const std::string &Route, const run_counts &Count) {
   json Row = json::array({Route, Count.Runs, Count.Failures, Count.TotalMs});
   if (Count.Unfinished > 0) {
@@ -153,6 +165,8 @@
     J.push_back(M.PlatformReached);
     J.push_back(M.DocumentVersion);
     J.push_back(M.Digest);
+    if (M.StoreEra > 0)
+      J.push_back(M.StoreEra);
     break;
   case peer_message_kind::Records: {
     json Members = json::array();
@@ -165,6 +179,12 @@
     J.push_back(std::move(Rollouts));
     J.push_back(M.Part);
     J.push_back(M.Parts);
+    if (!M.Evacuations.empty()) {
+      json Evacuations = json::array();
+      for (const evacuation_record &Record : M.Evacuations)
+        Evacuations.push_back(toJson(Record));
+      J.push_back(std::move(Evacuations));
+    }
     break;
   }
   case peer_message_kind::Evidence: {
@@ -185,6 +205,20 @@
     J.push_back(std::move(Sightings));
     break;
   }
+  case peer_message_kind::QuotaAsk:
+  case peer_message_kind::QuotaGrant: {
+    json Rows = json::array();
+    for (const quota_ask &Ask : M.Asks)
+      Rows.push_back(json::array({Ask.Tenant, Ask.Count}));
+    for (const quota_answer &Answer : M.Grants)
+      Rows.push_back(json::array({Answer.Granted, Answer.RetryAfterMs}));
+    J.push_back(M.Slot);
+    J.push_back(M.Sequence);
+    J.push_back(M.Lends);
+    J.push_back(M.Releases);
+    J.push_back(std::move(Rows));
+    break;
+  }
   case peer_message_kind::Sync:
   case peer_message_kind::Ping:
   case peer_message_kind::Pong:
@@ -201,7 +235,7 @@
     peer_message M;
     const int Kind = J.at(0).get<int>();
     if (Kind < static_cast<int>(peer_message_kind::Beacon) ||
-        Kind > static_cast<int>(peer_message_kind::Crash))
+        Kind > static_cast<int>(peer_message_kind::QuotaGrant))
       return malformed("unknown kind " + std::to_string(Kind));
     M.Kind = static_cast<peer_message_kind>(Kind);
     M.From = J.at(1).get<std::string>();
@@ -212,6 +246,8 @@
       M.PlatformReached = J.at(4).get<bool>();
       M.DocumentVersion = J.at(5).get<std::uint64_t>();
       M.Digest = J.at(6).get<std::uint64_t>();
+      if (J.size() > 7) // sent only if the store has an era
+        M.StoreEra = J.at(7).get<std::uint64_t>();
       break;
     case peer_message_kind::Records:
       for (const json &Record : J.at(3))
@@ -220,6 +256,9 @@
         M.Rollouts.push_back(rolloutFrom(Record));
       M.Part = J.at(5).get<std::uint32_t>();
       M.Parts = J.at(6).get<std::uint32_t>();
+      if (J.size() > 7) // sent only if there are any
+        for (const json &Record : J.at(7))
+          M.Evacuations.push_back(evacuationFrom(Record));
       break;
     case peer_message_kind::Evidence:
       M.Service = J.at(3).get<std::string>();
@@ -244,6 +283,20 @@
             {Row.at(0).get<std::uint64_t>(), Row.at(1).get<std::string>(),
              Row.at(2).get<std::uint64_t>(), Row.at(3).get<std::uint32_t>()});
       break;
+    case peer_message_kind::QuotaAsk:
+    case peer_message_kind::QuotaGrant:
+      M.Slot = J.at(3).get<std::uint32_t>();
+      M.Sequence = J.at(4).get<std::uint64_t>();
+      M.Lends = J.at(5).get<bool>();
+      M.Releases = J.at(6).get<bool>();
+      for (const json &Row : J.at(7))
+        if (M.Kind == peer_message_kind::QuotaAsk)
+          M.Asks.push_back(
+              {Row.at(0).get<std::string>(), Row.at(1).get<std::uint32_t>()});
+        else
+          M.Grants.push_back(
+              {Row.at(0).get<std::uint32_t>(), Row.at(1).get<std::uint32_t>()});
+      break;
     case peer_message_kind::Sync:
     case peer_message_kind::Ping:
     case peer_message_kind::Pong:
@@ -259,6 +312,7 @@
   peer_message Head = Message;
   Head.Members.clear();
   Head.Rollouts.clear();
+  Head.Evacuations.clear();
   Head.Counts.clear();
   Head.Sightings.clear();
   const std::size_t HeadBytes =
@@ -281,6 +335,8 @@
     PartFor(toJson(Record)).Members.push_back(Record);
   for (const rollout_record &Record : Message.Rollouts)
     PartFor(toJson(Record)).Rollouts.push_back(Record);
+  for (const evacuation_record &Record : Message.Evacuations)
+    PartFor(toJson(Record)).Evacuations.push_back(Record);
   for (const auto &[Route, Count] : Message.Counts)
     PartFor(toJson(Route, Count)).Counts.emplace(Route, Count);
   for (const state::crash_sighting &Sighting : Message.Sightings)
--- a/hyssopledge/coordination/peer_message.h
+++ b/hyssopledge/coordination/peer_message.h
@@ -21,8 +21,20 @@
   Sync,       // requests all records
   Ping,       // requests a Pong
   Pong,
-  Evidence, // runs at one upstream during a rollout
-  Crash,    // requests that were running when an upstream crashed
+  Evidence,   // runs at one upstream during a rollout
+  Crash,      // requests that were running when an upstream crashed
+  QuotaAsk,   // asks the owner of a quota slot for tokens, lends or releases
+  QuotaGrant, // response to QuotaAsk
+};
+
+/// Asks for requests of one tenant.
+struct quota_ask {
+  std::string Tenant;
+  std::uint32_t Count = 0;
+};
+struct quota_answer {
+  std::uint32_t Granted = 0;
+  std::uint32_t RetryAfterMs = 0; // for the others
 };
 
 struct peer_message {
@@ -34,10 +46,12 @@
   std::string DataCentre;
   bool PlatformReached = false; // the sender watches the platform
   std::uint64_t DocumentVersion = 0;
-  std::uint64_t Digest = 0; // of the sender's directory
+  std::uint64_t Digest = 0;   // of the sender's directory
+  std::uint64_t StoreEra = 0; // latest one that the sender knows
   //--- Records ----------------------------------------------------------------
   std::vector<member_record> Members;
   std::vector<rollout_record> Rollouts;
+  std::vector<evacuation_record> Evacuations;
   std::uint32_t Part = 0;  // index of this datagram
   std::uint32_t Parts = 0; // datagrams of a full sync; 0: not a full sync
   //--- Evidence ---------------------------------------------------------------
@@ -50,6 +64,13 @@
   route_counts Counts;
   //--- Crash ------------------------------------------------------------------
   std::vector<state::crash_sighting> Sightings;
+  //--- QuotaAsk, QuotaGrant ---------------------------------------------------
+  std::uint32_t Slot = 0;
+  std::uint64_t Sequence = 0; // of the QuotaAsk; increases for each sender
+  bool Lends = false;         // the sender lends its shares of the slot
+  bool Releases = false;      // the sender takes them back
+  std::vector<quota_ask> Asks;
+  std::vector<quota_answer> Grants; // in the order of the asks
 };
 
 /// Larger datagrams may be fragmented and dropped.
--- a/hyssopledge/protocol/mesh_settings.h
+++ b/hyssopledge/protocol/mesh_settings.h
@@ -6,6 +6,7 @@
 #include "hyssopledge/state/clock.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -26,6 +27,15 @@
   std::string PlatformAddress;        // of the platform
   //--- Limits -----------------------------------------------------------------
   double LinkMbps = 0;           // of the instance, both directions; 0: unknown
+  std::size_t MemoryBytes = 256 * 1024 * 1024; // of this process
+  std::size_t MaxDescriptors = 4096;           // of this process
+  /// Excess over the tenants' quotas that the operators accept, as a fraction
+  /// and as a number of requests in their window.
+  double QuotaOverage = 0;
+  double QuotaSlack = 0;
+  /// Second attempts for slow idempotent requests, as a fraction of these; 0:
+  /// none.
+  double HedgeRatio = 0;
   double RetryBudgetRatio = 0.2; // retries per request, over all daemons
   double RetryBudgetSlack = 64; // further retries in a window, over all daemons
   std::chrono::seconds RetryBudgetWindow{10}; // for which retries are counted
--- a/hyssopledge/transport/call_dialect.h
+++ b/hyssopledge/transport/call_dialect.h
@@ -15,6 +15,7 @@
 struct call_metadata {
   std::string_view Id; // of the caller's attempt; empty: none
   std::optional<state::milliseconds> TimeLeft; // the caller waits no longer
+  std::string_view ApiKey;                     // empty: none
 };
 
 /// Fields of a request to an upstream.
@@ -22,6 +23,7 @@
   state::milliseconds TimeLeft{0};
   std::string_view Upstream;      // only this upstream may run it
   std::string_view CallerService; // service of the entry daemon's instance
+  std::string_view Tenant{};      // that holds the caller's API key
 };
 
 /// Fields of an upstream's response.
@@ -34,6 +36,9 @@
   /// as long as its responses say so; none: no limit.
   std::optional<double> RequestLimit;
   bool Leaving = false; // the upstream stops soon and takes no new requests
+  /// How long work takes on the upstream's machine now, in percent of the usual
+  /// time.
+  std::optional<double> WorkPercent;
 };
 
 class call_dialect {
@@ -43,6 +48,8 @@
   virtual call_metadata parseCall(const http_request &Request) const = 0;
   virtual void setCallFields(http_request &Request,
                              const upstream_call &Call) const = 0;
+  /// Removes the caller's API key and whatever it sent as its tenant.
+  virtual void removeCredentials(http_request &Request) const = 0;
   /// Id is the id of the request's attempt, as parseCall() returned it.
   virtual response_metadata parseResponse(const http_response &Response,
                                           std::string_view Id) const = 0;
--- a/hyssopledge/transport/hop.cpp
+++ b/hyssopledge/transport/hop.cpp
@@ -1,5 +1,7 @@
 #include "hyssopledge/transport/hop.h"
 
+#include "hyssopledge/protocol/call_headers.h"
+
 #include <array>
 #include <charconv>
 #include <vector>
@@ -34,6 +36,18 @@
 
 } // namespace
 
+const char *outcomeText(hop_outcome Outcome) {
+  switch (Outcome) {
+  case hop_outcome::Ran:
+    return OutcomeRan;
+  case hop_outcome::NotRun:
+    return OutcomeNotRun;
+  case hop_outcome::Unknown:
+    break;
+  }
+  return OutcomeUnknown;
+}
+
 std::string formatHopCall(const hop_call &Call) {
   std::string Text;
   for (const std::string *Part :
@@ -48,9 +62,11 @@
     Text += 'l';
   if (Call.IsRetry)
     Text += 'r';
-  if (Call.BodyBytes > 0 || Call.TransferTicket > 0)
+  if (Call.BodyBytes > 0 || Call.TransferTicket > 0 || !Call.Tenant.empty())
     Text += Separator + std::to_string(Call.BodyBytes) + Separator +
             std::to_string(Call.TransferTicket);
+  if (!Call.Tenant.empty())
+    Text += Separator + Call.Tenant;
   return Text;
 }
 
@@ -59,7 +75,8 @@
   hop_call Call;
   std::int64_t TimeLeft = 0;
   std::int64_t SloTimeLeft = 0;
-  const bool HasTransfer = Parts.size() == 9;
+  const bool HasTenant = Parts.size() == 10;
+  const bool HasTransfer = Parts.size() == 9 || HasTenant;
   if ((Parts.size() != 7 && !HasTransfer) || !parseNumber(Parts[3], TimeLeft) ||
       !parseNumber(Parts[4], SloTimeLeft) ||
       !parseNumber(Parts[5], Call.Priority) ||
@@ -67,10 +84,12 @@
                        !parseNumber(Parts[8], Call.TransferTicket))))
     return state::failure(state::errc::InvalidMessage,
                           std::string(HopCallField) +
-                              " must have 7 or 9 parts between '|'");
+                              " must have 7, 9 or 10 parts between '|'");
   Call.Upstream = Parts[0];
   Call.Route = Parts[1];
   Call.CallerService = Parts[2];
+  if (HasTenant)
+    Call.Tenant = Parts[9];
   Call.TimeLeft = state::milliseconds(TimeLeft);
   Call.SloTimeLeft = state::milliseconds(SloTimeLeft);
   Call.MayMissSlo = Parts[6].find('l') != std::string_view::npos;
@@ -89,7 +108,8 @@
             std::to_string(Load.Slots) + Separator +
             std::to_string(Load.ExpectedWait.count()) + Separator +
             std::to_string(Load.SlowdownPercent) + Separator +
-            std::to_string(Load.FailurePercent);
+            std::to_string(Load.FailurePercent) + Separator +
+            std::to_string(Load.WorkPercent);
   }
   Answer.Response.set(HopAnswerField, Text);
 }
@@ -104,14 +124,21 @@
         Answer.Outcome = static_cast<hop_outcome>(I);
     Answer.Reason = Parts[1];
     Answer.RejectedByUpstream = Parts[2] == "1";
+  } else if (Response.find(HopAnswerField) == Response.end() &&
+             fieldValue(Response, protocol::call_headers::Outcome) ==
+                 OutcomeNotRun) {
+    Answer.Outcome = hop_outcome::NotRun;
+    Answer.Reason = fieldValue(Response, protocol::call_headers::Reason);
   }
   state::load_report Load;
   std::int64_t Wait = 0;
-  if (Parts.size() == 9 && parseNumber(Parts[3], Load.Running) &&
+  // Earlier versions don't send the last part.
+  if (Parts.size() >= 9 && parseNumber(Parts[3], Load.Running) &&
       parseNumber(Parts[4], Load.Waiting) &&
       parseNumber(Parts[5], Load.Slots) && parseNumber(Parts[6], Wait) &&
       parseNumber(Parts[7], Load.SlowdownPercent) &&
-      parseNumber(Parts[8], Load.FailurePercent)) {
+      parseNumber(Parts[8], Load.FailurePercent) &&
+      (Parts.size() == 9 || parseNumber(Parts[9], Load.WorkPercent))) {
     Load.ExpectedWait = state::milliseconds(Wait);
     Answer.Load = Load;
   }
--- a/hyssopledge/transport/hop.h
+++ b/hyssopledge/transport/hop.h
@@ -17,6 +17,7 @@
   std::string Upstream; // name of the chosen upstream
   std::string Route;
   std::string CallerService; // service of the entry daemon's instance
+  std::string Tenant;        // that holds the caller's API key; empty: none
   state::milliseconds TimeLeft{0};
   /// Time left to meet the latency objective; below 0: it is missed.
   state::milliseconds SloTimeLeft{0};
@@ -49,12 +50,15 @@
 /// Field of the response to an admitted transfer request: its ticket.
 extern const char *const TransferField;
 
+/// The value of the field x-hyssop-outcome.
+const char *outcomeText(hop_outcome Outcome);
 std::string formatHopCall(const hop_call &Call);
 state::result<hop_call> parseHopCall(std::string_view Text);
 /// Sets the field on Answer.Response.
 void setHopAnswerField(hop_answer &Answer);
-/// Parses the field and removes it from the response. The outcome is Unknown
-/// when the field is missing or malformed.
+/// Parses the field and removes it from the response. When it is missing, the
+/// daemon itself has responded before it had the whole request, and the outcome
+/// is that of its error response. Otherwise the outcome is Unknown.
 hop_answer parseHopAnswer(http_response Response);
 
 } // namespace hyssopledge::transport
--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -181,12 +181,15 @@
       public std::enable_shared_from_this<exchange> {
 public:
   exchange(std::shared_ptr<core> Core, std::string Address,
-           http_request Request, state::time_point Deadline, handler Handler,
-           send_options Options)
+           outgoing_request NewRequest, state::time_point Deadline,
+           handler Handler, send_options Options)
       : Core(std::move(Core)), Address(std::move(Address)),
-        Request(std::move(Request)), Deadline(Deadline),
-        Handler(std::move(Handler)), Options(std::move(Options)),
-        Timer(this->Core->Context), HeldBytes(this->Core->Options.BodyBudget) {}
+        Request(std::move(NewRequest.Head.base()), std::move(NewRequest.Body)),
+        Deadline(Deadline), Handler(std::move(Handler)),
+        Options(std::move(Options)), Timer(this->Core->Context),
+        HeldBytes(this->Core->Options.BodyBudget) {
+    Request.prepare_payload();
+  }
 
   void start() {
     const auto Endpoint = parseEndpoint(Address);
@@ -249,7 +252,7 @@
   void write() {
     // Until the write reports its byte count, a failure counts as Unknown.
     MayBeWritten = true;
-    const bool LargeBody = Request.body().size() > SmallBodyBytes;
+    const bool LargeBody = Request.body()->size() > SmallBodyBytes;
     // The server may respond before it has read a long body.
     if (LargeBody)
       read();
@@ -388,7 +391,7 @@
 
   std::shared_ptr<core> Core;
   std::string Address;
-  http_request Request;
+  http::request<shared_string_body> Request;
   state::time_point Deadline;
   handler Handler;
   send_options Options;
@@ -415,7 +418,7 @@
 }
 
 std::shared_ptr<client_exchange>
-http_client_pool::send(const std::string &Address, http_request Request,
+http_client_pool::send(const std::string &Address, outgoing_request Request,
                        state::time_point Deadline, handler Handler,
                        send_options Options) {
   auto Exchange =
--- a/hyssopledge/transport/http_client_pool.h
+++ b/hyssopledge/transport/http_client_pool.h
@@ -64,7 +64,7 @@
   ConnectionClosed, // the peer closed or reset the connection
   Timeout,          // the deadline passed
   Cancelled,        // by client_exchange::cancel()
-  InvalidResponse,  // not HTTP, over the size limit, or without a length
+  InvalidResponse,  // not HTTP, no HTTP status, too large, or without a length
   OverBudget,       // this process holds too many bytes of responses
 };
 
@@ -98,7 +98,7 @@
   /// Sends the request to "ip:port". The handler is called once, from the loop,
   /// never before send() returns.
   std::shared_ptr<client_exchange>
-  send(const std::string &Address, http_request Request,
+  send(const std::string &Address, outgoing_request Request,
        state::time_point Deadline, handler Handler, send_options Options = {});
   void closeIdleConnections(const std::string &Address);
   std::size_t idleConnections() const; // count for all addresses
--- a/hyssopledge/transport/http_listener.cpp
+++ b/hyssopledge/transport/http_listener.cpp
@@ -32,6 +32,10 @@
         AcceptRetryTimer(*this->Loops.front()), Sessions(this->Loops.size()) {}
 
   void accept();
+  void onAccepted(tcp::socket Socket, std::size_t LoopIndex);
+  /// Closes the connection that has waited longest for bytes of its caller.
+  /// Returns false when none waits for any.
+  bool evictWaitingConnection();
 
   std::vector<asio::io_context *> Loops;
   listener_options Options;
@@ -51,13 +55,14 @@
 /// One connection. It always reads, so that a close by the caller is detected
 /// while its requests are handled.
 class http_listener::session final
-    : public std::enable_shared_from_this<session> {
+    : public std::enable_shared_from_this<session>,
+      public state::request_intake {
 public:
   session(std::shared_ptr<core> Core, tcp::socket Socket, std::size_t LoopIndex,
           bool OverLimit)
       : Core(std::move(Core)), Socket(std::move(Socket)),
         Timer(this->Socket.get_executor()), LoopIndex(LoopIndex),
-        OverLimit(OverLimit) {}
+        OverLimit(OverLimit), Budget(this->Core->Options.ReceiveBudget) {}
 
   void start() {
     error_code Ignored;
@@ -73,6 +78,11 @@
   /// Whether the caller has closed or reset the connection.
   bool isClosedByCaller();
   bool isClosed() const { return Closed; }
+  /// Whether no request of the connection is complete and unanswered.
+  bool waitsForCaller() const { return Pending.empty() && !Writing; }
+  state::time_point lastInputAt() const { return LastInputAt; }
+  void evict() { close(); }
+  void refuse() override;
 
 private:
   class exchange;
@@ -84,6 +94,8 @@
   void parse();
   void onRequest();
   void respondInvalidInput(const error_code &Error);
+  void endInput(http_response Refusal);
+  void updateBudget();
   void onResponse();
   void writeNextResponse();
   void onWritten(const error_code &Error);
@@ -102,6 +114,8 @@
   asio::steady_timer Timer;
   std::size_t LoopIndex;
   bool OverLimit;
+  std::shared_ptr<state::receive_budget> Budget;
+  state::time_point LastInputAt = boot_clock::now();
   bool Closed = false;
   bool Reading = false;
   bool Writing = false;
@@ -121,7 +135,17 @@
   exchange(const std::shared_ptr<session> &Session, http_request Request,
            bool KeepAlive, std::size_t LoopIndex)
       : Request(std::move(Request)), KeepAlive(KeepAlive), Session(Session),
-        LoopIndex(LoopIndex), HeldBytes(Session->Core->Options.BodyBudget) {}
+        LoopIndex(LoopIndex), HeldBytes(Session->Core->Options.BodyBudget),
+        Budget(Session->Budget) {
+    if (Budget)
+      Budget->hold(this->Request.body().size());
+  }
+  ~exchange() override {
+    if (Budget)
+      Budget->release(Request.body().size());
+  }
+  exchange(const exchange &) = delete;
+  exchange &operator=(const exchange &) = delete;
 
   //--- server_exchange --------------------------------------------------------
   const http_request &request() const override { return Request; }
@@ -154,7 +178,7 @@
     return std::exchange(DisconnectHandler, nullptr);
   }
 
-  http_request Request;
+  const http_request Request;
   http_response PendingResponse;
   bool KeepAlive;
   bool HasResponse = false;
@@ -164,6 +188,7 @@
   std::size_t LoopIndex;
   std::function<void()> DisconnectHandler;
   byte_share HeldBytes; // of PendingResponse
+  std::shared_ptr<state::receive_budget> Budget;
 };
 
 void http_listener::session::onDisconnected() {
@@ -194,6 +219,8 @@
     return;
   Closed = true;
   --Core->Connections;
+  if (Budget)
+    Budget->remove(*this);
   Timer.cancel();
   error_code Ignored;
   Socket.close(Ignored);
@@ -264,14 +291,35 @@
       return close();
     return onDisconnected();
   }
+  LastInputAt = boot_clock::now();
   if (Lingering || IgnoresInput) {
     Buffer.clear();
     return read();
   }
   parse();
+  updateBudget();
   read();
 }
 
+/// Counts the bytes of an incomplete request, and of requests behind it.
+void http_listener::session::updateBudget() {
+  if (!Budget || Closed)
+    return;
+  if (IgnoresInput || (!Parser && Buffer.size() == 0))
+    return Budget->remove(*this);
+  const std::size_t Bytes =
+      Buffer.capacity() + (Parser ? Parser->get().body().size() : 0);
+  if (!Budget->update(*this, Bytes, boot_clock::now()))
+    refuse();
+}
+
+void http_listener::session::refuse() {
+  if (Closed || IgnoresInput)
+    return;
+  endInput(makeErrorResponse(503, OutcomeNotRun, "memory",
+                             "the daemon has no room for this request"));
+}
+
 void http_listener::session::parse() {
   while (!Closed && !IgnoresInput && Buffer.size() > 0 && !isPipelineFull()) {
     if (Parser && Parser->is_done())
@@ -340,8 +388,6 @@
 
 /// Responds to input that is malformed or over a limit, and ignores the rest.
 void http_listener::session::respondInvalidInput(const error_code &Error) {
-  IgnoresInput = true;
-  Parser.reset();
   http_response Refusal;
   if (Error == http::error::body_limit)
     Refusal = makeErrorResponse(413, OutcomeNotRun, "body-too-large",
@@ -356,6 +402,16 @@
   else
     Refusal = makeErrorResponse(400, OutcomeNotRun, "malformed-http",
                                 "not an HTTP/1.1 request: " + Error.message());
+  endInput(std::move(Refusal));
+}
+
+void http_listener::session::endInput(http_response Refusal) {
+  IgnoresInput = true;
+  Parser.reset();
+  Buffer.clear();
+  Buffer.shrink_to_fit();
+  if (Budget)
+    Budget->remove(*this);
   auto Exchange = std::make_shared<exchange>(shared_from_this(), http_request(),
                                              false, LoopIndex);
   Pending.push_back(Exchange);
@@ -412,6 +468,7 @@
     if (Parser && Parser->is_done() && Pending.empty())
       onRequest();
     parse();
+    updateBudget();
     return read();
   }
   error_code Ignored;
@@ -441,15 +498,37 @@
       });
       return;
     }
-    const bool OverLimit = ++Self->Connections > Self->Options.MaxConnections;
-    auto Session = std::make_shared<session>(Self, std::move(Socket), LoopIndex,
-                                             OverLimit);
-    asio::post(*Self->Loops[LoopIndex],
-               [Session = std::move(Session)] { Session->start(); });
+    Self->onAccepted(std::move(Socket), LoopIndex);
     Self->accept();
   });
 }
 
+void http_listener::core::onAccepted(tcp::socket Socket,
+                                     std::size_t LoopIndex) {
+  bool OverLimit = Connections + 1 > Options.MaxConnections;
+  if (OverLimit && Options.EvictsWaitingConnections) {
+    if (!evictWaitingConnection())
+      return; // closes the new connection
+    OverLimit = false;
+  }
+  ++Connections;
+  auto Session = std::make_shared<session>(
+      shared_from_this(), std::move(Socket), LoopIndex, OverLimit);
+  asio::post(*Loops[LoopIndex],
+             [Session = std::move(Session)] { Session->start(); });
+}
+
+bool http_listener::core::evictWaitingConnection() {
+  std::shared_ptr<session> Longest;
+  for (const auto &Session : Sessions.front())
+    if (Session->waitsForCaller() &&
+        (!Longest || Session->lastInputAt() < Longest->lastInputAt()))
+      Longest = Session;
+  if (Longest)
+    Longest->evict();
+  return Longest != nullptr;
+}
+
 http_listener::http_listener(std::shared_ptr<core> Core)
     : Core(std::move(Core)) {}
 
--- a/hyssopledge/transport/http_listener.h
+++ b/hyssopledge/transport/http_listener.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "hyssopledge/state/clock.h"
+#include "hyssopledge/state/receive_budget.h"
 #include "hyssopledge/state/result.h"
 #include "hyssopledge/transport/byte_budget.h"
 #include "hyssopledge/transport/http_message.h"
@@ -21,6 +22,10 @@
 struct listener_options {
   std::size_t MaxBodyBytes = transport::MaxBodyBytes; // of a request
   std::size_t MaxConnections = 4096; // requests on further ones are refused
+  /// A connection beyond MaxConnections closes the one that has waited longest
+  /// for bytes of its caller, instead of being refused. Only for a listener
+  /// with a single loop.
+  bool EvictsWaitingConnections = false;
   std::chrono::seconds IdleTimeout{75};
   std::chrono::seconds ReceiveTimeout{30}; // for one complete request
   std::uint32_t MaxHeaderBytes = transport::MaxHeaderBytes;
@@ -30,6 +35,9 @@
   std::size_t MaxPipelinedRequests = 1;
   /// Counts the bodies of responses until they are written. Null: none.
   std::shared_ptr<byte_budget> BodyBudget;
+  /// Limits the bytes of requests, also of those that wait for their response.
+  /// Must not change. Only for a listener with a single loop. Null: no limit.
+  std::shared_ptr<state::receive_budget> ReceiveBudget;
 };
 
 /// One request and its response. Use it only on the loop that called the
--- a/hyssopledge/transport/http_message.h
+++ b/hyssopledge/transport/http_message.h
@@ -7,15 +7,18 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/buffer_traits.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/optional.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace hyssopledge::transport {
 
@@ -36,16 +39,19 @@
     template <bool IsRequest, class Fields>
     reader(boost::beast::http::header<IsRequest, Fields> &, std::string &Body)
         : Body(Body) {}
-    void init(const boost::optional<std::uint64_t> &Length,
+    void init(const boost::optional<std::uint64_t> &Announced,
               boost::system::error_code &Error) {
       constexpr std::uint64_t MaxReservedBytes = 64 * 1024;
-      if (Length)
-        Body.reserve(std::min(*Length, MaxReservedBytes));
+      if (Announced) {
+        Length = static_cast<std::size_t>(*Announced);
+        Body.reserve(std::min(Length, MaxReservedBytes));
+      }
       Error = {};
     }
     template <class Buffers>
     std::size_t put(const Buffers &Added, boost::system::error_code &Error) {
       const std::size_t Size = Body.size();
+      reserve(Size + boost::beast::buffer_bytes(Added));
       for (const auto Part : boost::beast::buffers_range_ref(Added))
         Body.append(static_cast<const char *>(Part.data()), Part.size());
       Error = {};
@@ -54,10 +60,64 @@
     void finish(boost::system::error_code &Error) { Error = {}; }
 
   private:
+    /// A long body is copied when it grows, so that both copies exist for a
+    /// moment. The factors keep the sum below twice the received bytes.
+    void reserve(std::size_t Needed) {
+      constexpr std::size_t LongBytes = 4 * 1024 * 1024;
+      const std::size_t Capacity = Body.capacity();
+      if (Needed <= Capacity)
+        return;
+      // The announced length costs no memory until its bytes arrive.
+      if (Length >= Needed)
+        Body.reserve(std::min(Length, std::max(Needed, 4 * Capacity)));
+      else if (Capacity >= LongBytes)
+        Body.reserve(std::max(Needed, Capacity + Capacity / 4));
+    }
+
     std::string &Body;
+    std::size_t Length = 0; // announced; 0: unknown
+  };
+};
+
+/// A body that several messages refer to, so that it exists once; not null.
+using shared_body = std::shared_ptr<const std::string>;
+
+/// Body type of requests with a shared_body.
+struct shared_string_body {
+  using value_type = shared_body;
+  static std::uint64_t size(const value_type &Body) { return Body->size(); }
+  class writer {
+  public:
+    using const_buffers_type = boost::asio::const_buffer;
+    template <bool IsRequest, class Fields>
+    writer(const boost::beast::http::header<IsRequest, Fields> &,
+           const value_type &Body)
+        : Body(Body) {}
+    void init(boost::system::error_code &Error) { Error = {}; }
+    boost::optional<std::pair<const_buffers_type, bool>>
+    get(boost::system::error_code &Error) {
+      Error = {};
+      return {{const_buffers_type{Body->data(), Body->size()}, false}};
+    }
+
+  private:
+    const value_type &Body;
   };
 };
 
+/// A request to send. Its body may be that of a received request.
+struct outgoing_request {
+  outgoing_request(http_request Request)
+      : Body(std::make_shared<std::string>(std::move(Request.body()))) {
+    Head.base() = std::move(Request.base());
+  }
+  outgoing_request(http_request Head, shared_body Body)
+      : Head(std::move(Head)), Body(std::move(Body)) {}
+
+  http_request Head; // its body is empty
+  shared_body Body;
+};
+
 /// Values of the field x-hyssop-outcome.
 constexpr char OutcomeRan[] = "ran";
 constexpr char OutcomeNotRun[] = "not-run";
--- a/hyssopledge/transport/mesh_plane.h
+++ b/hyssopledge/transport/mesh_plane.h
@@ -7,6 +7,7 @@
 
 #include "hyssopledge/coordination/fleet_directory.h"
 #include "hyssopledge/coordination/version_hold.h"
+#include "hyssopledge/state/hedge_policy.h"
 #include "hyssopledge/state/placement.h"
 #include "hyssopledge/state/random.h"
 #include "hyssopledge/state/retry_breaker.h"
@@ -44,13 +45,34 @@
   state::shared_retry_budget_settings RetryBudget;
   client_pool_options PeerPool; // connections to other daemons; the listeners
                                 // count against its budget, if it has one
+  /// Of received requests. Null: no limit.
+  std::shared_ptr<state::receive_budget> ReceiveBudget;
+  //--- Limits that callers within the document's limits do not reach ----------
+  std::size_t MaxEntryConnections = 2048; // of callers
+  std::size_t MaxHopConnections = 1024;   // of other daemons
+  std::size_t MaxCalls = 1024; // of callers at once; more are refused
+  /// Second attempts for slow idempotent calls, as a fraction of these; 0:
+  /// none.
+  double HedgeRatio = 0;
 };
 
+enum class quota_decision {
+  Granted,
+  Exceeded,    // the tenant is over its quota
+  Unavailable, // it is not known in time whether the tenant is over its quota
+};
+using quota_handler =
+    std::function<void(quota_decision, state::milliseconds RetryAfter)>;
+
 struct mesh_plane_hooks {
   /// Sends a ping to another daemon; onPeerAlive() reports its response.
   std::function<void(const std::string &Instance)> Ping;
   /// Returns the active document, compressed; empty when there is none.
   std::function<std::string()> CompressedDocument;
+  /// Decides whether a call of the tenant is within its quota. The handler is
+  /// called once, possibly before the function returns. Empty: all are.
+  std::function<void(const state::tenant_spec &Tenant, quota_handler Handler)>
+      AcquireQuota;
 };
 
 class mesh_plane {
@@ -86,6 +108,7 @@
   std::size_t active() const; // requests whose response is not yet written
 
 private:
+  class attempt;
   class entry_call;
 
   /// An upstream and the daemon on its instance.
@@ -98,6 +121,7 @@
     std::uint32_t Slots = 0;
     std::uint64_t StartUnixMs = 0; // of the upstream
     double LinkMbps = 0;           // of its instance; 0: unknown
+    bool Cold = false;             // accepts few requests
     /// Until then it gets calls only if no other upstream can take them.
     state::time_point HeldUntil{};
   };
@@ -110,7 +134,7 @@
     state::time_point LastPingAt{};
     unsigned UnansweredPings = 0;
     bool Reachable = true;
-    std::set<entry_call *> Calls; // waiting for a response of this peer
+    std::set<attempt *> Attempts; // waiting for a response of this peer
   };
 
   mesh_plane(boost::asio::io_context &Context, mesh_plane_options Options,
@@ -120,6 +144,9 @@
   void onCallerRequest(std::shared_ptr<server_exchange> Caller);
   void onHopRequest(const std::shared_ptr<server_exchange> &Caller);
   void checkPeers();
+  void checkHedges();
+  listener_options entryOptions(const state::caller_limits &Limits) const;
+  listener_options hopOptions(const state::caller_limits &Limits) const;
   /// Stops sending to an upstream that said in a response that it leaves. The
   /// announcement of its own daemon may come later or not at all.
   void onUpstreamLeaving(const target &Leaving);
@@ -143,6 +170,7 @@
   /// is left for retries of refused requests.
   state::shared_retry_budget RerunBudget;
   state::retry_breaker RetryBreaker;
+  state::hedge_policy Hedging;
   std::shared_ptr<const state::route_table> Table;
   std::unordered_map<std::string, service_targets> Services;
   coordination::version_hold VersionHold;
@@ -159,6 +187,7 @@
   std::unordered_map<std::string, std::uint64_t> LeavingUpstreams;
   std::unordered_map<entry_call *, std::shared_ptr<entry_call>> Calls;
   boost::asio::steady_timer PeerTimer;
+  boost::asio::steady_timer HedgeTimer;
   state::time_point LastPeerCheck{};
   bool RefusesNewCalls = false;
   state::time_point ShutdownDeadline = state::time_point::max();
--- a/hyssopledge/transport/upstream_client.cpp
+++ b/hyssopledge/transport/upstream_client.cpp
@@ -57,10 +57,11 @@
 class upstream_client::exchange final : public upstream_exchange {
 public:
   exchange(upstream_client &Client, std::uint64_t Ticket, hop_call Call,
-           http_request Request, handler Handler,
+           outgoing_request NewRequest, handler Handler,
            disconnect_check CallerDisconnected)
       : Client(Client), Ticket(Ticket), Call(std::move(Call)),
-        Request(std::move(Request)), Handler(std::move(Handler)),
+        Request(std::move(NewRequest.Head)), Body(std::move(NewRequest.Body)),
+        Handler(std::move(Handler)),
         CallerDisconnected(std::move(CallerDisconnected)) {
     const state::time_point Now = boot_clock::now();
     Deadline = Now + this->Call.TimeLeft;
@@ -69,8 +70,7 @@
     const auto Method = this->Request.method_string();
     const auto Path = this->Request.target();
     Fingerprint = state::requestFingerprint({Method.data(), Method.size()},
-                                            {Path.data(), Path.size()},
-                                            this->Request.body());
+                                            {Path.data(), Path.size()}, *Body);
   }
 
   void cancel() override {
@@ -90,17 +90,16 @@
         std::chrono::duration_cast<milliseconds>(Deadline - Started);
     removeConnectionFields(Request);
     Request.version(11);
-    Client.Dialect.setCallFields(Request,
-                                 {std::max(TimeLeft, milliseconds(1)),
-                                  Client.Upstream.Name, Call.CallerService});
-    Request.prepare_payload();
+    Client.Dialect.setCallFields(Request, {std::max(TimeLeft, milliseconds(1)),
+                                           Client.Upstream.Name,
+                                           Call.CallerService, Call.Tenant});
     send_options Options;
     Options.AcceptResponse = [Self](const http_response &Response) {
       return Self->Client.Dialect.parseResponse(Response, Self->Id)
           .MatchesRequest;
     };
     OutboundExchange = Client.Pool.send(
-        Client.Options.Address, std::move(Request),
+        Client.Options.Address, {std::move(Request), std::move(Body)},
         Deadline + ResponseGracePeriod,
         [Self](exchange_result Result) {
           Self->onExchangeEnd(std::move(Result));
@@ -182,6 +181,9 @@
     if (Status != 421) { // sent by another upstream at the address
       Client.HasResponded = true;
       Client.setRequestLimit(Metadata.RequestLimit);
+      if (Metadata.WorkPercent)
+        Client.Queue.recordWorkPercent(*Metadata.WorkPercent,
+                                       boot_clock::now());
       if (Metadata.Leaving)
         Client.startDrain();
     }
@@ -227,7 +229,8 @@
       Callback(std::move(Answer));
   }
 
-  http_request Request;
+  http_request Request; // without its body
+  shared_body Body;
   handler Handler;
   disconnect_check CallerDisconnected;
   std::string Id;
@@ -261,7 +264,7 @@
   else if (WasServing || Replaced)
     DrainStartedAt = boot_clock::now();
   Queue.setSlots(Record.Slots);
-  Queue.setRateLimit(Record.RequestLimit, boot_clock::now());
+  applyRateLimit(boot_clock::now());
   release(Queue.expire(boot_clock::now()));
 }
 
@@ -274,6 +277,7 @@
   Load.ExpectedWait = std::min(Queue.expectedWait(Now), milliseconds(60'000));
   Load.SlowdownPercent = static_cast<std::uint32_t>(100 * Queue.slowdown(Now));
   Load.FailurePercent = static_cast<std::uint32_t>(100 * Failures.at(Now));
+  Load.WorkPercent = static_cast<std::uint32_t>(100 * Queue.workFactor(Now));
   return Load;
 }
 
@@ -306,6 +310,9 @@
   if (Upstream.State != upstream_state::Serving &&
       boot_clock::now() - DrainStartedAt >= Options.DrainGracePeriod)
     return "draining";
+  if (EvacuatedAt &&
+      boot_clock::now() - *EvacuatedAt >= Options.DrainGracePeriod)
+    return "evacuated";
   return nullptr;
 }
 
@@ -326,7 +333,7 @@
 }
 
 std::shared_ptr<upstream_exchange>
-upstream_client::run(hop_call Call, http_request Request, handler Handler,
+upstream_client::run(hop_call Call, outgoing_request Request, handler Handler,
                      disconnect_check CallerDisconnected) {
   if (const char *Reason = refusalReason(Call)) {
     Handler(refusal(Reason));
@@ -337,6 +344,7 @@
       *this, Ticket, std::move(Call), std::move(Request), std::move(Handler),
       std::move(CallerDisconnected));
   const state::time_point Now = boot_clock::now();
+  applyRateLimit(Now);
   if (HasSightings && Poison.isPoison(Exchange->fingerprint(), Now)) {
     Exchange->refuse("poison");
     return nullptr;
@@ -405,7 +413,9 @@
     if (Error)
       return;
     ExpiryTimerArmed = false;
-    release(Queue.expire(boot_clock::now()));
+    const state::time_point Now = boot_clock::now();
+    applyRateLimit(Now);
+    release(Queue.expire(Now));
     if (Queue.waiting() > 0)
       armExpiryTimer();
   });
@@ -513,6 +523,8 @@
   Upstream.AcceptsConnections = AcceptsConnections;
   if (!AcceptsConnections)
     Pool.closeIdleConnections(Options.Address);
+  else
+    assumeCold(); // it may have started again under its name
   if (Hooks.OnAcceptsConnectionsChanged)
     Hooks.OnAcceptsConnectionsChanged(AcceptsConnections);
 }
@@ -521,11 +533,49 @@
   if (Upstream.RequestLimit == PerSecond)
     return;
   Upstream.RequestLimit = PerSecond;
-  Queue.setRateLimit(PerSecond, boot_clock::now());
+  applyRateLimit(boot_clock::now());
   if (Hooks.OnRequestLimitChanged)
     Hooks.OnRequestLimitChanged();
 }
 
+void upstream_client::applyRateLimit(state::time_point Now) {
+  std::optional<double> Limit = Upstream.RequestLimit;
+  if (ColdLimit && Now < ColdUntil)
+    Limit = std::min(Limit.value_or(*ColdLimit), *ColdLimit);
+  if (std::exchange(RateLimit, Limit) != Limit)
+    Queue.setRateLimit(Limit, Now);
+}
+
+void upstream_client::setColdLimit(std::optional<double> PerSecond,
+                                   milliseconds NewColdPeriod) {
+  ColdLimit = PerSecond;
+  ColdPeriod = NewColdPeriod;
+  applyRateLimit(boot_clock::now());
+}
+
+void upstream_client::setCold(milliseconds Remaining) {
+  ColdUntil = boot_clock::now() + Remaining;
+  applyRateLimit(boot_clock::now());
+}
+
+void upstream_client::assumeCold() {
+  if (!ColdLimit)
+    return;
+  ColdUntil = std::max(ColdUntil, boot_clock::now() + ColdPeriod);
+  applyRateLimit(boot_clock::now());
+}
+
+void upstream_client::setEvacuated(bool Evacuated) {
+  if (Evacuated == EvacuatedAt.has_value())
+    return;
+  if (Evacuated) {
+    EvacuatedAt = boot_clock::now();
+    return;
+  }
+  EvacuatedAt.reset();
+  assumeCold();
+}
+
 /// The upstream's own announcement of the drain may come later.
 void upstream_client::startDrain() {
   if (Upstream.State != upstream_state::Serving)
--- a/hyssopledge/transport/upstream_client.h
+++ b/hyssopledge/transport/upstream_client.h
@@ -83,7 +83,7 @@
   /// A request whose caller has disconnected when it is due to be sent is
   /// dropped without calling the handler.
   std::shared_ptr<upstream_exchange>
-  run(hop_call Call, http_request Request, handler Handler,
+  run(hop_call Call, outgoing_request Request, handler Handler,
       disconnect_check CallerDisconnected = {});
   queue_preview preview(const hop_call &Call) const;
   /// Returns the reason for which the request must be refused whatever the
@@ -105,6 +105,16 @@
   /// Requests per second that the upstream accepts, as it last said.
   std::optional<double> requestLimit() const { return Upstream.RequestLimit; }
 
+  //--- Cold upstreams and evacuations -----------------------------------------
+  /// Requests per second that the upstream accepts while it is cold, and the
+  /// time for which it is cold after a start; none: as many as otherwise.
+  void setColdLimit(std::optional<double> PerSecond,
+                    state::milliseconds ColdPeriod);
+  /// The upstream says that it stays cold for this time; 0: it is warm.
+  void setCold(state::milliseconds Remaining);
+  /// Nothing may be sent to the upstreams of this data centre.
+  void setEvacuated(bool Evacuated);
+
   //--- Evidence for rollouts --------------------------------------------------
   /// Sets the revision of the rollout order for which runs are counted, 0 for
   /// none. Resets the counts when it changes.
@@ -136,6 +146,10 @@
   void probe();
   void setAcceptsConnections(bool AcceptsConnections);
   void setRequestLimit(std::optional<double> PerSecond);
+  /// Applies the request limit or that of a cold upstream, the lower one.
+  void applyRateLimit(state::time_point Now);
+  /// The upstream may be cold until its next announcement.
+  void assumeCold();
   void startDrain();
   void countRun(const std::string &Route, bool Failed,
                 state::milliseconds RunTime);
@@ -151,7 +165,12 @@
   bool HasResponded = false; // the current upstream, to any request
   state::time_point DrainStartedAt{};
   bool RefusesNewCalls = false;
+  std::optional<double> ColdLimit; // requests per second
+  state::milliseconds ColdPeriod{0};
+  state::time_point ColdUntil{};
+  std::optional<state::time_point> EvacuatedAt;
   state::slot_queue Queue;
+  std::optional<double> RateLimit; // of Queue
   std::uint64_t LastTicket = 0;
   std::unordered_map<std::uint64_t, std::shared_ptr<exchange>> Exchanges;
   boost::asio::steady_timer ExpiryTimer;
--- a/tests/hostile_clients_test.cpp
+++ b/tests/hostile_clients_test.cpp
@@ -178,6 +178,7 @@
     std::size_t MaxOpen = 0;
     crowd Crowd(Daemon.entryAddress(), Case.Callers, Case.Bytes);
     Crowd.send([&] { MaxOpen = std::max(MaxOpen, Daemon.descriptors()); });
+    Daemon.awaitIdle();
     MaxOpen = std::max(MaxOpen, Daemon.descriptors());
     CHECK(Daemon.alive());
     CHECK(Daemon.peakMemoryMb() <= MemoryMb);
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -386,3 +386,91 @@
     CHECK(Metadata.Leaving == Case.Leaving);
   }
 }
+
+TEST_CASE("tenants and their limits are decoded") {
+  const platform::operator_codec Codec;
+  const auto Table = Codec.parseDocument(
+      R"({"version":3,"services":[{"name":"pages","coldStartS":3.0,"coldPerS":6.4}],)"
+      R"("tenants":[{"name":"gold","apiKeys":["k1","k2"],"priority":1,)"
+      R"("ratePerS":480,"burstSize":12.5},{"name":"free","apiKeys":["k3","k1"]}],)"
+      R"("virtualHosts":[{"host":"h","paths":[)"
+      R"({"name":"open","prefix":"/o/","kind":"safe","timeoutMs":500,)"
+      R"("service":"pages","allowAnonymous":true},)"
+      R"({"name":"closed","prefix":"/c/","kind":"safe","timeoutMs":500,)"
+      R"("service":"pages"}]}]})");
+  REQUIRE(Table.has_value());
+  const state::route_table &Read = *Table.value();
+  CHECK(Read.hasTenants());
+  struct key_case {
+    const char *Key;
+    const char *Tenant; // null: unknown
+  };
+  for (const key_case &Case :
+       {key_case{"k1", "gold"}, key_case{"k2", "gold"}, key_case{"k3", "free"},
+        key_case{"k", nullptr}, key_case{"", nullptr}}) {
+    CAPTURE(std::string(Case.Key));
+    const auto *Tenant = Read.findTenant(Case.Key);
+    REQUIRE((Tenant != nullptr) == (Case.Tenant != nullptr));
+    if (Tenant != nullptr)
+      CHECK(Tenant->Name == Case.Tenant);
+  }
+  const state::tenant_spec &Gold = *Read.findTenant("k1");
+  CHECK(Gold.Priority == 1);
+  CHECK(Gold.Quota.RequestsPerSecond == 480);
+  CHECK(Gold.Quota.Burst == 12.5);
+  CHECK(Read.findTenant("k3")->Quota.RequestsPerSecond == 0);
+  CHECK(Read.matchRoute("h", "/o/1")->AllowAnonymous);
+  CHECK_FALSE(Read.matchRoute("h", "/c/1")->AllowAnonymous);
+  CHECK(Read.findService("pages")->ColdRequestsPerSecond == 6.4);
+  CHECK(Read.findService("pages")->ColdPeriod == milliseconds(3000));
+}
+
+TEST_CASE("invalid tenants are refused with the field name") {
+  struct tenant_case {
+    const char *Tenant;
+    const char *Message;
+  };
+  const tenant_case Cases[] = {
+      {R"({"apiKeys":["k"]})", "name"},
+      {R"({"name":"a","apiKeys":[7]})", "API key"},
+      {R"({"name":"a","apiKeys":"k"})", "apiKeys"},
+      {R"({"name":"a","ratePerS":"many"})", "ratePerS"},
+      {R"({"name":"a|b"})", "tenant 1"},
+      {R"({"name":"a\r\nX: y"})", "tenant 1"},
+      {R"({"name":""})", "tenant 1"},
+  };
+  const platform::operator_codec Codec;
+  for (const tenant_case &Case : Cases) {
+    CAPTURE(std::string(Case.Tenant));
+    const auto Read = Codec.parseDocument(
+        std::string(R"({"version":3,"services":[],"tenants":[)") + Case.Tenant +
+        R"(],"virtualHosts":[]})");
+    REQUIRE(Read.has_error());
+    CHECK(Read.error().text().find(Case.Message) != std::string::npos);
+  }
+}
+
+TEST_CASE("keys of evacuations name a data centre") {
+  const platform::operator_codec Codec;
+  CHECK(Codec.evacuatedDataCentre("op/evacuate/bci-a") == "bci-a");
+  CHECK(Codec.evacuatedDataCentre("op/evacuate/").empty());
+  CHECK(Codec.evacuatedDataCentre("op/rollout/pages").empty());
+  CHECK_FALSE(Codec.isOrderKey("op/evacuate/bci-a"));
+}
+
+TEST_CASE("the speed of work is the fourth figure of a load report") {
+  struct load_case {
+    const char *Value;
+    std::optional<double> Percent;
+  };
+  const platform::call_fields Fields;
+  for (const load_case &Case :
+       {load_case{"3,0,8", std::nullopt}, load_case{"3,0,8,250", 250.0},
+        load_case{"3,0,8,", std::nullopt}, load_case{"3,0,8,x", std::nullopt},
+        load_case{"3,0,8,120,9", 120.0}, load_case{"", std::nullopt}}) {
+    CAPTURE(std::string(Case.Value));
+    transport::http_response Response;
+    Response.set("Server-Load", Case.Value);
+    CHECK(Fields.parseResponse(Response, "").WorkPercent == Case.Percent);
+  }
+}
--- a/tests/support/mesh_fixture.h
+++ b/tests/support/mesh_fixture.h
@@ -23,11 +23,18 @@
 
 inline const char *const SignatureField = "Response-Signature: s\r\n";
 
+/// What differs between tests at the mesh plane.
+struct mesh_node_hooks {
+  double HedgeRatio = 0;
+  std::function<void(const state::tenant_spec &, transport::quota_handler)>
+      AcquireQuota;
+};
+
 /// A daemon and its local upstream, running on its own thread.
 class mesh_node {
 public:
   mesh_node(const std::string &Name, const std::string &UpstreamAddress,
-            double LinkMbps = 0)
+            double LinkMbps = 0, const mesh_node_hooks &TestHooks = {})
       : Name(Name), LinkMbps(LinkMbps), Metrics(Name),
         Work(Context.get_executor()) {
     const auto BodyBudget =
@@ -52,6 +59,8 @@
     Options.RetryBudget.Slack = 1000;
     transport::mesh_plane_hooks PlaneHooks;
     PlaneHooks.Ping = [](const std::string &) {};
+    PlaneHooks.AcquireQuota = TestHooks.AcquireQuota;
+    Options.HedgeRatio = TestHooks.HedgeRatio;
     PlaneHooks.CompressedDocument = [] { return std::string("the document"); };
     Plane =
         std::move(transport::mesh_plane::open(Context, Options, PlaneHooks,
@@ -132,8 +141,8 @@
 public:
   explicit mesh(std::vector<scripted_upstream::script> Scripts,
                 milliseconds Timeout = std::chrono::seconds(5),
-                double LinkMbps = 0)
-      : Entry("entry", "127.0.0.1:9") {
+                double LinkMbps = 0, const mesh_node_hooks &Hooks = {})
+      : Entry("entry", "127.0.0.1:9", 0, Hooks) {
     for (auto &Script : Scripts) {
       Upstreams.push_back(
           std::make_unique<scripted_upstream>(std::move(Script)));
--- a/tests/support/mesh_process.h
+++ b/tests/support/mesh_process.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace hyssopledge::tests {
 
@@ -77,6 +78,20 @@
   }
 
   bool alive() const { return ::kill(Process->pid(), 0) == 0 && !isZombie(); }
+  /// Waits until the process has read what its callers have sent: it uses no
+  /// processor time then, but for its timers.
+  void awaitIdle() const {
+    constexpr std::chrono::milliseconds Period{500};
+    constexpr long MaxTicks = 2; // of the timers in one period
+    const auto End = std::chrono::steady_clock::now() + TestTimeout;
+    long Ticks = processorTicks();
+    while (std::chrono::steady_clock::now() < End) {
+      std::this_thread::sleep_for(Period);
+      const long Before = std::exchange(Ticks, processorTicks());
+      if (Ticks - Before <= MaxTicks)
+        return;
+    }
+  }
   /// Largest resident memory so far, in MB.
   double peakMemoryMb() const {
     return std::stod("0" + statusField("VmHWM")) / 1024;
@@ -105,6 +120,21 @@
       }
     return {};
   }
+  /// User and system time, in clock ticks.
+  long processorTicks() const {
+    std::ifstream File(procFolder() + "/stat");
+    std::string Text;
+    std::getline(File, Text);
+    std::istringstream Fields(Text.substr(Text.rfind(')') + 1));
+    std::string Skipped;
+    constexpr int FieldsBefore = 11; // behind the name
+    for (int I = 0; I < FieldsBefore; ++I)
+      Fields >> Skipped;
+    long User = 0;
+    long System = 0;
+    Fields >> User >> System;
+    return User + System;
+  }
   bool isZombie() const { return statusField("State").starts_with("Z"); }
 
   /// An address of this process alone, so that fixed ports are free.
--- a/tests/support/store_fleet.h
+++ b/tests/support/store_fleet.h
@@ -58,9 +58,11 @@
     std::unique_ptr<transport::document_client> Documents;
     std::unique_ptr<transport::http_listener> DocumentListener;
     std::unique_ptr<coordination::fleet_agent> Agent;
+    coordination::route_counts Counts; // at its upstream
   };
 
-  store_fleet() {
+  /// CountsRuns: the daemons report the counts of their nodes.
+  explicit store_fleet(bool CountsRuns = false) : CountsRuns(CountsRuns) {
     Store.put("op/config", documentText(1));
     for (const char *Name : {"a-1", "a-2", "a-3", "b-1", "b-2", "b-3"})
       add(Name);
@@ -86,6 +88,12 @@
     }
     return true;
   }
+  /// Whether all daemons know an order for the version.
+  bool allFollow(const std::string &Version) const {
+    return std::all_of(Nodes.begin(), Nodes.end(), [&](const auto &Entry) {
+      return split(*Entry.second).ToVersion == Version;
+    });
+  }
   /// The smallest share of the new version at a daemon, in 1/10,000.
   std::uint32_t shareOfAll() const {
     std::uint32_t Share = 10'000;
@@ -127,6 +135,8 @@
     return coordination::trafficSplit(Node.Agent->directory().rollout("pages"));
   }
 
+  bool CountsRuns;
+
   void add(const std::string &Name) {
     auto Node = std::make_unique<node>();
     Node->Fleet = this;
@@ -148,9 +158,11 @@
     Options.HopAddress = Proxy.forward(Node->DocumentListener->address());
     Options.DataCentre = Name.substr(0, 1);
     Options.Incarnation = 1;
+    coordination::fleet_agent_hooks Hooks;
+    if (CountsRuns)
+      Hooks.RouteCounts = [Self = Node.get()] { return Self->Counts; };
     Node->Agent = std::make_unique<coordination::fleet_agent>(
-        Options, coordination::fleet_agent_hooks{}, Codec, *Node->Store, *Node,
-        Timers);
+        Options, Hooks, Codec, *Node->Store, *Node, Timers);
     Node->Agent->start();
     Nodes.emplace(Name, std::move(Node));
   }
