client pool: a response whose status is not from 100 to 599 is invalid

Change: the pool ends such an exchange as an invalid response: another target is tried if the request may be repeated, otherwise the caller gets 502.

--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -62,6 +62,9 @@
 // Interim responses, and responses to other requests, that are skipped before
 // the response to a request.
 constexpr unsigned MaxSkippedResponses = 16;
+// Status codes of HTTP (RFC 9110, section 15).
+constexpr unsigned MinStatus = 100;
+constexpr unsigned MaxStatus = 599;
 
 /// Returns the idle timeout of the server from its Keep-Alive field, none when
 /// the field has no valid timeout.
@@ -324,6 +327,11 @@
                     "answer of " + Address + ": " + Error.message());
     }
     const unsigned Status = Parser->get().result_int();
+    // The parser accepts any three digits.
+    if (Status < MinStatus || Status > MaxStatus)
+      return finish(exchange_error::InvalidResponse,
+                    "answer of " + Address + ": status " +
+                        std::to_string(Status));
     const bool Interim = Status >= 100 && Status < 200 && Status != 101;
     auto Parsed = Parser->release();
     exchange_result Result;
--- a/tests/mesh_plane_test.cpp
+++ b/tests/mesh_plane_test.cpp
@@ -123,6 +123,18 @@
        502},
       {"header of an interim response only",
        sendingBytes("HTTP/1.1 102 Processing\r\n\r\n"), 200, 502},
+      {"status 000",
+       sendingBytes("HTTP/1.1 000 X\r\n" + std::string(SignatureField) +
+                    "Content-Length: 1\r\n\r\nx"),
+       200, 502},
+      {"status 042",
+       sendingBytes("HTTP/1.1 042 X\r\n" + std::string(SignatureField) +
+                    "Content-Length: 1\r\n\r\nx"),
+       200, 502},
+      {"status 999",
+       sendingBytes("HTTP/1.1 999 X\r\n" + std::string(SignatureField) +
+                    "Content-Length: 1\r\n\r\nx"),
+       200, 502},
       {"not HTTP", sendingBytes("hello hello hello\r\n\r\n"), 200, 502},
       {"success without a signature", respondingWith("x", 200, ""), 200, 502},
       {"error response", respondingWith("x", 500), 200, 500},
