--- a/hyssopledge/coordination/fleet_agent_document.cpp
+++ b/hyssopledge/coordination/fleet_agent_document.cpp
@@ -4,6 +4,8 @@
 #include "hyssopledge/coordination/fleet_agent.h"
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace hyssopledge::coordination {
@@ -151,13 +153,12 @@
 void fleet_agent::endMissingEvacuations(const platform_read &Read) {
   std::vector<evacuation_record> Ended;
   const auto Revision = static_cast<std::uint64_t>(Read.Revision);
+  std::set<std::string> Present;
+  for (const platform_entry &Entry : Read.Entries)
+    Present.insert(Dialect.evacuatedDataCentre(Entry.Key));
   for (const auto &[DataCentre, Known] : Directory.evacuations())
     if (Known.Active && Known.Revision <= Revision &&
-        std::none_of(Read.Entries.begin(), Read.Entries.end(),
-                     [&](const platform_entry &Entry) {
-                       return Dialect.evacuatedDataCentre(Entry.Key) ==
-                              DataCentre;
-                     }))
+        !Present.contains(DataCentre))
       Ended.push_back({DataCentre, Revision, false});
   mergeEvacuations(Ended);
 }
--- a/hyssopledge/coordination/quota_agent.cpp
+++ b/hyssopledge/coordination/quota_agent.cpp
@@ -20,6 +20,8 @@
 // Retry-After of requests that an owner can't judge: it does not know the
 // workspace yet, or none has answered.
 constexpr milliseconds UnknownRetryAfter{250};
+// Interval at which exceeded quotas are logged, for each workspace.
+constexpr milliseconds LogInterval{1000};
 
 /// Equal on all daemons.
 std::uint64_t hashOf(std::uint32_t Salt, const std::string &Text) {
@@ -265,15 +267,31 @@
   send(Index, std::move(Message), Now);
 }
 
+/// Takes tokens from the pool of a slot that this daemon owns.
+state::quota_grant quota_agent::take(slot &Slot, const std::string &Workspace,
+                                     std::uint32_t Count, time_point Now) {
+  const auto Limit = Limits.find(Workspace);
+  if (Limit == Limits.end()) // of a newer document, or of a former one
+    return {0, UnknownRetryAfter};
+  const state::quota_grant Grant =
+      Slot.Pool.take(Workspace, Limit->second, Count, Members, Now);
+  time_point &LoggedAt = Slot.ExceededLoggedAt[Workspace];
+  if (Grant.Granted < Count && Hooks.Log && Now - LoggedAt >= LogInterval) {
+    LoggedAt = Now;
+    Hooks.Log("quota_exceeded",
+              "workspace=" + Workspace + " per_second=" +
+                  std::to_string(Limit->second.RequestsPerSecond) +
+                  " burst=" + std::to_string(Limit->second.Burst) +
+                  " share=" + std::to_string(Slot.Pool.share(Members, Now)) +
+                  " members=" + std::to_string(Members) + " retry_after_ms=" +
+                  std::to_string(Grant.RetryAfter.count()));
+  }
+  return Grant;
+}
+
 void quota_agent::takeOwn(slot &Slot, time_point Now) {
   for (waiting_request &Request : std::exchange(Slot.Waiting, {})) {
-    const auto Limit = Limits.find(Request.Workspace);
-    if (Limit == Limits.end()) {
-      Request.Handler(quota_result::Granted, milliseconds(0));
-      continue;
-    }
-    const state::quota_grant Grant =
-        Slot.Pool.take(Request.Workspace, Limit->second, 1, Members, Now);
+    const state::quota_grant Grant = take(Slot, Request.Workspace, 1, Now);
     Request.Handler(Grant.Granted > 0 ? quota_result::Granted
                                       : quota_result::Exceeded,
                     Grant.RetryAfter);
@@ -343,12 +361,8 @@
   for (const quota_ask &Return : Message.Returns)
     Slot.Pool.giveBack(Return.Workspace, Return.Count);
   for (const quota_ask &Ask : Message.Asks) {
-    const auto Limit = Limits.find(Ask.Workspace);
-    state::quota_grant Granted;
-    Granted.RetryAfter = UnknownRetryAfter;
-    if (Limit != Limits.end())
-      Granted =
-          Slot.Pool.take(Ask.Workspace, Limit->second, Ask.Count, Members, Now);
+    const state::quota_grant Granted =
+        take(Slot, Ask.Workspace, Ask.Count, Now);
     Grant.Grants.push_back({Granted.Granted, static_cast<std::uint32_t>(
                                                  Granted.RetryAfter.count())});
   }
--- a/hyssopledge/coordination/quota_agent.h
+++ b/hyssopledge/coordination/quota_agent.h
@@ -123,6 +123,7 @@
     //--- As the owner ---------------------------------------------------------
     state::quota_pool Pool;
     std::map<std::string, std::uint64_t> ReleasedBy; // sequence by lender
+    std::map<std::string, state::time_point> ExceededLoggedAt; // by workspace
   };
 
   bool enabled() const { return !Limits.empty(); }
@@ -130,6 +131,8 @@
   void updateOwner(std::uint32_t Index);
   void updateLoan(std::uint32_t Index, state::time_point Now);
   void flush(std::uint32_t Index, state::time_point Now);
+  state::quota_grant take(slot &Slot, const std::string &Workspace,
+                          std::uint32_t Count, state::time_point Now);
   void takeOwn(slot &Slot, state::time_point Now);
   void send(std::uint32_t Index, peer_message Message, state::time_point Now);
   void release(std::uint32_t Index);
--- a/hyssopledge/transport/mesh_call.cpp
+++ b/hyssopledge/transport/mesh_call.cpp
@@ -440,7 +440,7 @@
        std::max(toMilliseconds(SloDeadline - Now), milliseconds(1)),
        TriedUpstreams, Now},
       Plane.Random);
-  if (Choice.Instance.empty() || Choice.MissesSlo ||
+  if (Choice.Instance.empty() || Choice.ExpectedLatency > Deadline - Now ||
       !Plane.RetryBreaker.allowsRetry(Route->Name, Now) ||
       !Plane.Hedging.tryAcquire() ||
       !Plane.RetryBudget.tryAcquire(Service, Now) || Caller->detectDisconnect())
@@ -455,8 +455,8 @@
   TriedUpstreams.push_back(Found->Upstream);
   hop_call Hop = hopCall();
   Hop.Upstream = Found->Upstream;
-  // One that would answer late does not help.
-  Hop.MayMissSlo = false;
+  // While the objective can be met, one that would miss it does not help.
+  Hop.MayMissSlo = Choice.MissesSlo;
   Hop.IsRetry = true;
   Hedge = std::make_shared<attempt>(Plane, shared_from_this(), *Found,
                                     std::move(Hop));
@@ -636,7 +636,7 @@
   Plane.Metrics.recordCall(call_side::Entry, Outcome, Reason,
                            boot_clock::now() - Started);
   const unsigned Status = Response.result_int();
-  if (Status >= 500 || Status == 404 || Status == 401 || Hops > 1)
+  if (Status >= 500 || Status == 404 || Status == 401 || Hops > 1 || Hedges > 0)
     logEnd(Status, Outcome, Reason);
   Caller->respond(std::move(Response));
 }
--- a/tests/mesh_workspaces_test.cpp
+++ b/tests/mesh_workspaces_test.cpp
@@ -121,7 +121,7 @@
     std::vector<std::string> Asked;
     mesh_node_hooks Hooks;
     Hooks.AcquireQuota = [&](const state::workspace_spec &Workspace,
-                             transport::quota_handler Handler) {
+                             const transport::quota_handler &Handler) {
       Asked.push_back(Workspace.Name);
       Handler(Case.Decision, milliseconds(400));
     };
