--- a/apps/hyssop_mesh/mesh_daemon.cpp
+++ b/apps/hyssop_mesh/mesh_daemon.cpp
@@ -67,9 +67,9 @@
 constexpr std::size_t ReservedDescriptors = 200;
 // Fractions of the other descriptors: for connections of callers, for those of
 // other daemons, and for calls at once, which need connections to targets.
-constexpr std::size_t EntryDescriptorDivisor = 2;
-constexpr std::size_t HopDescriptorDivisor = 4;
-constexpr std::size_t CallDescriptorDivisor = 4;
+constexpr std::size_t EntryDescriptorDivisor = 3;
+constexpr std::size_t HopDescriptorDivisor = 2; // some for each other daemon
+constexpr std::size_t CallDescriptorDivisor = 6;
 // Connections to the addresses for probes, announcements and metrics.
 constexpr std::size_t MaxControlConnections = 32;
 
@@ -392,6 +392,8 @@
   }
   UpstreamClient->setColdLimit(ColdLimit, ColdPeriod);
   Quotas->setWorkspaces(Table->source().Workspaces);
+  if (Quotas->enabled())
+    Quotas->setDirectory(Agent->directory());
   MeshPlane->setDocument(std::move(Table));
 }
 
@@ -407,7 +409,8 @@
   DirectoryUpdatePending = false;
   const auto &Directory = Agent->directory();
   MeshPlane->setDirectory(Directory);
-  Quotas->setDirectory(Directory);
+  if (Quotas->enabled())
+    Quotas->setDirectory(Directory);
   UpstreamClient->setEvacuated(Directory.isEvacuated(Settings.DataCentre));
   if (const auto *Rollout = Directory.rollout(Settings.Service);
       Rollout != nullptr &&
--- a/hyssopledge/coordination/quota_agent.h
+++ b/hyssopledge/coordination/quota_agent.h
@@ -77,8 +77,10 @@
   quota_agent(quota_agent_options Options, quota_agent_hooks Hooks,
               state::timer_service &Timers);
 
-  /// Sets the limits. Without any, the agent sends nothing.
+  /// Sets the limits. Without any, the agent sends nothing and needs no
+  /// directory.
   void setWorkspaces(const std::vector<state::workspace_spec> &Workspaces);
+  bool enabled() const { return !Limits.empty(); }
   void setDirectory(const fleet_directory &Directory);
   /// Asks for one request of the workspace, which must have a limit. The
   /// handler is called once, possibly before the function returns.
@@ -126,7 +128,6 @@
     std::map<std::string, state::time_point> ExceededLoggedAt; // by workspace
   };
 
-  bool enabled() const { return !Limits.empty(); }
   void tick(state::time_point Now);
   void updateOwner(std::uint32_t Index);
   void updateLoan(std::uint32_t Index, state::time_point Now);
