placement: cold targets come last only where the document limits them

Cause: upstreams of all deployments say that they are cold for some seconds after their start; the preference for warm ones is for services with a cold rate, and other deployments are to be served as before. Change: a candidate counts as cold only if its service has a cold rate in the document in force.

--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -143,6 +143,7 @@
   const state::caller_limits &Limits = Table->source().Limits;
   EntryListener->setOptions(entryOptions(Limits));
   HopListener->setOptions(hopOptions(Limits));
+  updateColdLimits();
 }
 
 void mesh_plane::setDirectory(const coordination::fleet_directory &Directory) {
@@ -174,6 +175,7 @@
   for (auto &[Service, Targets] : Services)
     Targets.VersionSplit =
         coordination::trafficSplit(Directory.rollout(Service));
+  updateColdLimits();
   Placement.retain(KnownUpstreams);
   RetryBudget.setDaemonCount(Directory.size());
   RerunBudget.setDaemonCount(Directory.size());
@@ -183,6 +185,14 @@
   });
 }
 
+void mesh_plane::updateColdLimits() {
+  for (auto &[Name, Targets] : Services) {
+    const auto *Service = Table ? Table->findService(Name) : nullptr;
+    Targets.HasColdLimit =
+        Service != nullptr && Service->ColdRequestsPerSecond > 0;
+  }
+}
+
 void mesh_plane::onUpstreamLeaving(const target &Leaving) {
   if (!LeavingUpstreams.emplace(Leaving.Upstream, Leaving.StartUnixMs).second)
     return;
@@ -210,7 +220,7 @@
     Candidate.Instance = Target.Upstream;
     Candidate.SameDataCentre = Target.DataCentre == Options.DataCentre;
     Candidate.Slots = Target.Slots;
-    Candidate.Cold = Target.Cold;
+    Candidate.Cold = Target.Cold && Service.HasColdLimit;
     const auto Peer = Peers.find(Target.Instance);
     Candidate.Reachable = Peer == Peers.end() || Peer->second.Reachable;
     (Target.HeldUntil > Now ? HeldCandidates : Candidates)
--- a/hyssopledge/transport/mesh_plane.h
+++ b/hyssopledge/transport/mesh_plane.h
@@ -132,6 +132,7 @@
   struct service_targets {
     std::vector<target> Targets;
     coordination::traffic_split VersionSplit;
+    bool HasColdLimit = false; // cold targets accept few requests
   };
   struct peer {
     state::time_point LastAliveAt{};
@@ -149,6 +150,7 @@
   void onHopRequest(const std::shared_ptr<server_exchange> &Caller);
   void checkPeers();
   void checkHedges();
+  void updateColdLimits();
   listener_options entryOptions(const state::caller_limits &Limits) const;
   listener_options hopOptions(const state::caller_limits &Limits) const;
   /// Stops sending to an upstream that said in a response that it leaves. The
