Review: clients that do not read lock new clients out

Cause: a connection whose answer is being written is never closed, and new connections beyond the limit are.

--- a/review/standin-2/machines.h
+++ b/review/standin-2/machines.h
@@ -223,9 +223,10 @@
 
 class target {
 public:
-  target(machine Machine, std::string Id, ms WorkMs)
+  target(machine Machine, std::string Id, ms WorkMs,
+         std::size_t AnswerBytes = 0)
       : At(std::move(Machine)), Id(std::move(Id)), WorkMs(WorkMs),
-        Born(unixMs()),
+        AnswerBytes(AnswerBytes), Born(unixMs()),
         Server(At.app(), [this](connection &C, const message &M) {
           return serve(C, M);
         }) {}
@@ -269,8 +270,14 @@
     return Arrivals;
   }
 
+  std::size_t arrivalCount() {
+    const std::lock_guard<std::mutex> Lock(Mutex);
+    return Arrivals.size();
+  }
+
   const machine At;
   const std::string Id;
+  std::atomic<bool> Quiet{false}; // no line in the record for each request
 
 private:
   bool call(const std::string &Name, const std::string &Body,
@@ -303,9 +310,10 @@
       const std::lock_guard<std::mutex> Lock(Mutex);
       Arrivals.push_back({nowMs(), AttemptId, Request.method(), Path, Runs});
     }
-    Record.line("target " + Id + (Runs ? " runs " : " rejects ") + AttemptId +
-                " " + Request.method() + " " + Path + " body " +
-                std::to_string(Request.Body.size()));
+    if (!Quiet)
+      Record.line("target " + Id + (Runs ? " runs " : " rejects ") + AttemptId +
+                  " " + Request.method() + " " + Path + " body " +
+                  std::to_string(Request.Body.size()));
     if (!Runs)
       return To.send(formatMessage(
           "HTTP/1.1 421 Misdirected",
@@ -319,12 +327,21 @@
                                {"Response-Signature", "sig." + AttemptId},
                                {"Server-Load", std::to_string(Now) + ",0,12"},
                                {"Keep-Alive", "timeout=10"}},
-                              "answer of " + Id + " to " + AttemptId));
-    Record.line("target " + Id + " answered " + AttemptId);
+                              answer(AttemptId)));
+    if (!Quiet)
+      Record.line("target " + Id + " answered " + AttemptId);
     return Kept;
   }
 
+  std::string answer(const std::string &AttemptId) const {
+    std::string Text = "answer of " + Id + " to " + AttemptId;
+    if (Text.size() < AnswerBytes)
+      Text.resize(AnswerBytes, ' ');
+    return Text;
+  }
+
   const ms WorkMs;
+  const std::size_t AnswerBytes; // at least
   const ms Born;
   std::atomic<int> Running{0};
   std::atomic<std::uint64_t> Sequence{0};
