Review: a target whose clock jumped back can't drain

Cause: announcements with an earlier start time than the one on record are ignored and acknowledged.

--- a/review/standin-2/machines.h
+++ b/review/standin-2/machines.h
@@ -224,9 +224,9 @@
 class target {
 public:
   target(machine Machine, std::string Id, ms WorkMs,
-         std::size_t AnswerBytes = 0)
+         std::size_t AnswerBytes = 0, ms ClockAheadMs = 0)
       : At(std::move(Machine)), Id(std::move(Id)), WorkMs(WorkMs),
-        AnswerBytes(AnswerBytes), Born(unixMs()),
+        AnswerBytes(AnswerBytes), Born(unixMs() + ClockAheadMs),
         Server(At.app(), [this](connection &C, const message &M) {
           return serve(C, M);
         }) {}
@@ -253,6 +253,11 @@
     if (Beats.joinable())
       Beats.join();
   }
+  /// Sends nothing more and closes its connections.
+  void crash() {
+    stopHeartbeats();
+    Server.stop();
+  }
   /// Returns whether the daemon acknowledged.
   bool heartbeat(const std::string &State) {
     const json Body = {{"service", At.Service}, {"address", At.app().text()},
--- a/review/standin-2/net.h
+++ b/review/standin-2/net.h
@@ -20,6 +20,7 @@
 #include <netinet/tcp.h>
 #include <optional>
 #include <poll.h>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <strings.h>
@@ -299,9 +300,14 @@
       throw std::runtime_error("can't listen on " + At.text());
     std::thread([this] { accept(); }).detach();
   }
-  /// Stops listening. Open connections end with their next request.
+  /// Stops listening and closes the open connections.
   void stop() {
     Stopped = true;
+    {
+      const std::lock_guard<std::mutex> Lock(Mutex);
+      for (const int Socket : Open)
+        ::shutdown(Socket, SHUT_RDWR);
+    }
     ::shutdown(Listener, SHUT_RDWR);
     ::close(Listener);
   }
@@ -318,17 +324,25 @@
       }
       std::thread([this, Socket] {
         connection Connection(Socket);
+        {
+          const std::lock_guard<std::mutex> Lock(Mutex);
+          Open.insert(Socket);
+        }
         while (!Stopped) {
           const auto Request = readMessage(Connection, nowMs() + 3'600'000);
           if (!Request || Stopped || !Handler(Connection, *Request))
-            return;
+            break;
         }
+        const std::lock_guard<std::mutex> Lock(Mutex);
+        Open.erase(Socket);
       }).detach();
     }
   }
   handler Handler;
   int Listener;
   std::atomic<bool> Stopped{false};
+  std::mutex Mutex;
+  std::set<int> Open;
 };
 
 } // namespace rig
