--- a/review/standin-2/no_reader.cpp
+++ b/review/standin-2/no_reader.cpp
@@ -15,7 +15,9 @@
 constexpr ms SendGapMs = 500;
 constexpr std::size_t AnswerBytes = 30'000; // the largest of the site
 constexpr int ReceiveBufferBytes = 2048;
-constexpr ms CrowdMs = 65'000;
+constexpr ms CrowdMs = 60'000;    // for which a crowd that reads goes on
+constexpr ms MaxCrowdMs = 85'000; // one that doesn't read
+constexpr int ProbesFailed = 10;  // in a row, of new clients
 constexpr int NewClients = 8;
 constexpr ms DeadlineMs = 1000;
 
@@ -63,7 +65,10 @@
   // As many descriptors as the settings name.
   rlimit Limit{};
   ::getrlimit(RLIMIT_NOFILE, &Limit);
-  Limit.rlim_cur = std::min<rlim_t>(4100, Limit.rlim_max);
+  constexpr rlim_t Descriptors = 4100;
+  if (Limit.rlim_max < Descriptors)
+    throw std::runtime_error("needs 4,100 descriptors for a process");
+  Limit.rlim_cur = Descriptors;
   ::setrlimit(RLIMIT_NOFILE, &Limit);
   const machine A = makeMachine(1, "hr-jadran-a", Service);
   const endpoint Platform{"127.77.1.1", freePorts("127.77.1.1")};
@@ -86,14 +91,28 @@
   for (int I = 0; I < CrowdConnections; ++I)
     Crowd.push_back(std::make_unique<crowd_client>(A.outbound()));
   say("the crowd is connected");
-  // Each client sends at a steady pace, so that the target can serve all.
+  // Each client sends at a steady pace, so that the target can serve all, until
+  // new clients get no answer.
+  std::atomic<bool> Probing{true};
+  std::atomic<int> FailedInARow{0};
+  std::thread Prober([&] {
+    while (Probing) {
+      const attempt Got =
+          sendFresh(A, "GET", "/puka111/gate", Host, DeadlineMs);
+      FailedInARow = Got.Status == 0 ? FailedInARow + 1 : 0;
+      sleepMs(500);
+    }
+  });
   const ms Start = nowMs();
-  while (nowMs() < Start + CrowdMs) {
+  const ms Until = Start + (Options.Trouble ? MaxCrowdMs : CrowdMs);
+  while (nowMs() < Until && FailedInARow < ProbesFailed) {
     const auto Due = static_cast<int>((nowMs() - Start) / SendGapMs) + 1;
     for (const auto &Client : Crowd)
       Client->step(!Options.Trouble, Due);
     sleepMs(1);
   }
+  Probing = false;
+  Prober.join();
   int Sent = 0;
   for (const auto &Client : Crowd)
     Sent += Client->Sent;
