Review: sources of the stand-ins in files of their own kind, case 8 without probes

A probe of case 8 took one of the crowd's connections, which let new clients in one at a time. Change: .cc and .hpp as in review/standin; the crowd goes on until the target gets nothing more, 85 s at most.

--- a/review/standin-2/born_earlier.cpp
+++ b/review/standin-2/born_earlier.cc
@@ -1,6 +1,6 @@
 // The time of day of a machine jumps ahead while its target starts, and back.
 // The target crashes and starts again under its name. Later it drains.
-#include "machines.h"
+#include "machines.hpp"
 
 using namespace rig;
 
--- a/review/standin-2/machines.h
+++ b/review/standin-2/machines.hpp
@@ -3,8 +3,8 @@
 /// settings of DEPLOY.md, the target beside it, and clients.
 #pragma once
 
-#include "net.h"
-#include "platform.h"
+#include "net.hpp"
+#include "platform.hpp"
 
 #include <csignal>
 #include <fcntl.h>
--- a/review/standin-2/many_fields.cpp
+++ b/review/standin-2/many_fields.cc
@@ -1,7 +1,7 @@
 // A crowd of clients pipelines safe requests whose headers have many short
 // fields. All stay within the limits of the configuration. The platform kills a
 // process that exceeds the memory of its machine, as DEPLOY.md says.
-#include "machines.h"
+#include "machines.hpp"
 
 using namespace rig;
 
--- a/review/standin-2/no_reader.cpp
+++ b/review/standin-2/no_reader.cc
@@ -1,6 +1,6 @@
 // A crowd of clients sends safe requests and does not read the answers. Other
 // clients open new connections.
-#include "machines.h"
+#include "machines.hpp"
 
 #include <sys/resource.h>
 
@@ -17,7 +17,7 @@
 constexpr int ReceiveBufferBytes = 2048;
 constexpr ms CrowdMs = 60'000;    // for which a crowd that reads goes on
 constexpr ms MaxCrowdMs = 85'000; // one that doesn't read
-constexpr int ProbesFailed = 10;  // in a row, of new clients
+constexpr ms QuietMs = 4000;
 constexpr int NewClients = 8;
 constexpr ms DeadlineMs = 1000;
 
@@ -91,28 +91,22 @@
   for (int I = 0; I < CrowdConnections; ++I)
     Crowd.push_back(std::make_unique<crowd_client>(A.outbound()));
   say("the crowd is connected");
-  // Each client sends at a steady pace, so that the target can serve all, until
-  // new clients get no answer.
-  std::atomic<bool> Probing{true};
-  std::atomic<int> FailedInARow{0};
-  std::thread Prober([&] {
-    while (Probing) {
-      const attempt Got =
-          sendFresh(A, "GET", "/puka111/gate", Host, DeadlineMs);
-      FailedInARow = Got.Status == 0 ? FailedInARow + 1 : 0;
-      sleepMs(500);
-    }
-  });
+  // Each client sends at a steady pace, so that the target can serve all. A
+  // crowd that doesn't read goes on until the target gets nothing more.
   const ms Start = nowMs();
-  const ms Until = Start + (Options.Trouble ? MaxCrowdMs : CrowdMs);
-  while (nowMs() < Until && FailedInARow < ProbesFailed) {
+  std::size_t Arrivals = 0;
+  ms GrownAt = Start;
+  while (nowMs() < Start + (Options.Trouble ? MaxCrowdMs : CrowdMs) &&
+         nowMs() < GrownAt + QuietMs) {
     const auto Due = static_cast<int>((nowMs() - Start) / SendGapMs) + 1;
     for (const auto &Client : Crowd)
       Client->step(!Options.Trouble, Due);
+    if (const std::size_t Now = TargetA.arrivalCount(); Now > Arrivals) {
+      Arrivals = Now;
+      GrownAt = nowMs();
+    }
     sleepMs(1);
   }
-  Probing = false;
-  Prober.join();
   int Sent = 0;
   for (const auto &Client : Crowd)
     Sent += Client->Sent;
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.hpp
@@ -2,7 +2,7 @@
 /// Stand-in for the platform's store, as PROTOCOL.md describes it.
 #pragma once
 
-#include "net.h"
+#include "net.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/review/standin-2/quota_removed.cpp
+++ b/review/standin-2/quota_removed.cc
@@ -1,5 +1,5 @@
 // One daemon is killed. A configuration without quotas comes right after it.
-#include "machines.h"
+#include "machines.hpp"
 
 using namespace rig;
 
--- a/review/standin-2/trace_body.cpp
+++ b/review/standin-2/trace_body.cc
@@ -1,6 +1,6 @@
 // One client sends a TRACE request with a body. Other clients of the machine
 // have requests in progress on kept connections.
-#include "machines.h"
+#include "machines.hpp"
 
 using namespace rig;
 
