--- a/review/standin-2/quota_removed.cc
+++ b/review/standin-2/quota_removed.cc
@@ -11,6 +11,7 @@
 constexpr ms DeadlineMs = 3000; // of the clients
 constexpr ms WorkMs = 20;
 constexpr ms ConfigAfterMs = 120;
+constexpr ms RestartAfterMs = 380; // since the configuration
 constexpr int Tenants = 8;
 constexpr int ClientsPerTenant = 4;
 constexpr ms RequestGapMs = 60;
@@ -80,6 +81,9 @@
   sleepMs(ConfigAfterMs);
   Store.put("op/config", document(9, 0).dump());
   say("configuration without quotas acknowledged");
+  sleepMs(RestartAfterMs);
+  if (Options.Trouble)
+    DaemonA.start();
   sleepMs(4000);
   Sending = false;
   for (std::thread &Client : Clients)
