client pool: a reset that a pending write sees does not complete a response

Cause: the response to a long request is read while the request is written. The kernel reports a reset once. If the pending write gets the error, the read ends as after a close by the peer, and the end of the connection is the end of a response without a length. Change: such a response is complete only if the write has not failed, or has failed with broken_pipe, which means that the peer had closed its side before. Otherwise the outcome is unknown, as after any other cut. Responses with a length or in chunks know their own end. Result: tests/broken_responses_test.cpp, at each place where responses are read. Sound responses of these kinds were accepted whole before and are now.

--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -265,6 +265,7 @@
                         if (Self->Done)
                           return;
                         Self->WriteFinished = true;
+                        Self->WriteError = Error;
                         if (Error && Bytes == 0) {
                           Self->MayBeWritten = false;
                           return Self->finish(exchange_error::ConnectionClosed,
@@ -274,7 +275,6 @@
                         // A server may refuse a long request before it has read
                         // all of it, so the response is read after a failed
                         // write as well.
-                        Self->WriteFailed = Error.failed();
                         if (!LargeBody)
                           Self->read();
                       });
@@ -296,11 +296,31 @@
                             if (Self->Done)
                               return;
                             if (Error || Self->Parser->is_done())
-                              return Self->onRead(Error);
+                              return Self->onReadEnd(Error);
                             Self->onReadPart(Bytes);
                           });
   }
 
+  /// The end of a close-delimited response depends on the error of a pending
+  /// write, and Asio does not promise that the handler of a write that has
+  /// failed runs before that of a later read. It is in the queue by now.
+  void onReadEnd(const error_code &Error) {
+    if (Error || WriteFinished || !Parser->need_eof())
+      return onRead(Error);
+    asio::post(Core->Context, [Self = shared_from_this()] {
+      if (!Self->Done)
+        Self->onRead({});
+    });
+  }
+
+  /// Returns whether the write has found that the connection was reset or
+  /// given up. The kernel reports this error once: if to the write, the read
+  /// ends as after a close by the peer.
+  bool writeFoundReset() const {
+    // broken_pipe: the peer had closed its side before.
+    return WriteError && WriteError != asio::error::broken_pipe;
+  }
+
   void onReadPart(std::size_t Bytes) {
     ReceivedBytes += Bytes;
     const std::size_t BodyBytes = Parser->get().body().size();
@@ -326,6 +346,9 @@
                            : exchange_error::InvalidResponse,
                     "answer of " + Address + ": " + Error.message());
     }
+    if (Parser->need_eof() && writeFoundReset())
+      return finish(exchange_error::ConnectionClosed,
+                    "answer of " + Address + ": " + WriteError.message());
     const unsigned Status = Parser->get().result_int();
     // The parser accepts any three digits.
     if (Status < MinStatus || Status > MaxStatus)
@@ -355,7 +378,7 @@
     // A connection with an incompletely written request is not reused: the
     // server would read the next request as the rest of this one.
     const bool Reusable = Parser->keep_alive() && WriteFinished &&
-                          !WriteFailed && !Parser->need_eof() &&
+                          !WriteError && !Parser->need_eof() &&
                           Connection->Buffer.size() == 0 && Status != 101;
     if (Reusable)
       Core->store(Address, std::move(Connection),
@@ -412,7 +435,7 @@
   bool Reused = false; // the connection carried an earlier request
   bool MayBeWritten = false;
   bool WriteFinished = false;
-  bool WriteFailed = false;
+  error_code WriteError;
   bool Done = false;
 };
 
--- /dev/null
+++ b/tests/broken_responses_test.cpp
@@ -0,0 +1,239 @@
+/// \file
+/// Tests that no caller gets a broken response as a response, wherever
+/// responses are read, and that sound responses of the same kinds are still
+/// accepted whole.
+#include <doctest/doctest.h>
+
+#include "support/response_readers.h"
+
+#include <atomic>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace hyssopledge;
+using namespace hyssopledge::tests;
+
+namespace {
+
+// More than the buffers of both sockets hold, so that it is still being written
+// while its receiver does not read.
+constexpr std::size_t LongRequestBytes = 7'000'000;
+constexpr std::size_t ShortRequestBytes = 100;
+const char *const StatusLine = "HTTP/1.1 200 OK\r\n";
+
+enum class framing { Length, Chunked, None };
+
+const framing AllFramings[] = {framing::Length, framing::Chunked,
+                               framing::None};
+
+const char *framingName(framing Framing) {
+  switch (Framing) {
+  case framing::Length:
+    return "with a length";
+  case framing::Chunked:
+    return "chunked";
+  case framing::None:
+    break;
+  }
+  return "without a length";
+}
+
+/// Returns the end of a response from the field of its framing on.
+std::string framedBody(framing Framing, const std::string &Body) {
+  switch (Framing) {
+  case framing::Length:
+    return "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  case framing::Chunked: {
+    char Size[20];
+    std::snprintf(Size, sizeof Size, "%zx\r\n", Body.size());
+    return "Transfer-Encoding: chunked\r\n\r\n" + std::string(Size) + Body +
+           "\r\n0\r\n\r\n";
+  }
+  case framing::None:
+    break;
+  }
+  return "\r\n" + Body;
+}
+
+std::string soundResponse(const response_reader_kind &Kind,
+                          framing Framing = framing::Length) {
+  return StatusLine + Kind.Fields + framedBody(Framing, Kind.Body);
+}
+
+/// A peer that answers the first request on a connection soundly if it is to be
+/// kept, and handles the next one as the test says.
+class scripted_peer {
+public:
+  scripted_peer(const response_reader_kind &Kind, bool Kept,
+                const scripted_upstream::script &Next)
+      : Kept(Kept), Server([=, this](upstream_connection &Connection) {
+          if (Kept) {
+            if (!Connection.read())
+              return;
+            Connection.send(soundResponse(Kind));
+          }
+          Next(Connection);
+        }),
+        Reader(Kind.Make(Server.address())) {}
+
+  /// Makes the connection a kept one if the test says so, and then the call.
+  read_result call(std::size_t RequestBytes) {
+    if (Kept)
+      REQUIRE(Reader->call(ShortRequestBytes).Status == 200);
+    return Reader->call(RequestBytes);
+  }
+
+  const bool Kept;
+  scripted_upstream Server;
+  std::unique_ptr<response_reader> Reader;
+};
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// Resets
+//-----------------------------------------------------------------------------
+
+// The reset was reported to the pending write only, and the read ended as if
+// the upstream had closed the connection behind the response.
+TEST_CASE("a response that is cut by a reset is not accepted") {
+  struct reset_case {
+    const char *Name;
+    bool DuringRequest; // or else behind it
+    milliseconds Pause; // between the part of the response and the reset
+  };
+  const reset_case Cases[] = {
+      {"behind the request", false, milliseconds(0)},
+      {"behind the request, later", false, milliseconds(30)},
+      {"during the request", true, milliseconds(0)},
+      {"during the request, later", true, milliseconds(30)},
+  };
+  for (const response_reader_kind &Kind : ResponseReaders)
+    for (const reset_case &Case : Cases)
+      for (const framing Framing : AllFramings)
+        for (const bool Kept : {false, true}) {
+          CAPTURE(std::string(Kind.Name));
+          CAPTURE(std::string(Case.Name));
+          CAPTURE(std::string(framingName(Framing)));
+          CAPTURE(Kept);
+          if (Kept && !Kind.KeepsConnections)
+            continue;
+          const std::string Whole = soundResponse(Kind, Framing);
+          blocking_queue<unsigned> Runs; // the numbers of their connections
+          scripted_peer Peer(Kind, Kept, [&](upstream_connection &Connection) {
+            if (Case.DuringRequest ? !Connection.readHead()
+                                   : !Connection.read())
+              return;
+            Runs.push(Connection.Number);
+            // Without the end of the body, whatever its framing is.
+            Connection.send(Whole.substr(0, Whole.size() - 8));
+            std::this_thread::sleep_for(Case.Pause);
+            Connection.reset();
+          });
+          const auto Result = Peer.call(Case.DuringRequest ? LongRequestBytes
+                                                           : ShortRequestBytes);
+          CHECK(Result.Status == 502);
+          CHECK(Runs.pop() == 0U);
+          CHECK_FALSE(Runs.pop(milliseconds(0)).has_value());
+        }
+}
+
+TEST_CASE("a response that is cut before the request is not accepted") {
+  for (const response_reader_kind &Kind : ResponseReaders)
+    for (const framing Framing : AllFramings)
+      for (const std::size_t RequestBytes :
+           {ShortRequestBytes, LongRequestBytes}) {
+        CAPTURE(std::string(Kind.Name));
+        CAPTURE(std::string(framingName(Framing)));
+        CAPTURE(RequestBytes);
+        const std::string Whole = soundResponse(Kind, Framing);
+        const auto SendCut = [&](upstream_connection &Connection) {
+          Connection.send(Whole.substr(0, Whole.size() - 8));
+          Connection.reset();
+        };
+        {
+          scripted_peer Peer(Kind, false, SendCut);
+          const unsigned Status = Peer.call(RequestBytes).Status;
+          // Nothing has run, but a peer that has not read the request can't be
+          // told from one that has.
+          CHECK((Status == 502 || Status == 503));
+        }
+        if (!Kind.KeepsConnections)
+          continue;
+        one_shot_event Cut;
+        scripted_upstream Server([&](upstream_connection &Connection) {
+          if (!Connection.read())
+            return;
+          Connection.send(soundResponse(Kind));
+          if (Connection.Number > 0)
+            return Connection.drain();
+          SendCut(Connection);
+          Cut.set();
+        });
+        const auto Reader = Kind.Make(Server.address());
+        REQUIRE(Reader->call(ShortRequestBytes).Status == 200);
+        REQUIRE(Cut.wait());
+        const auto Result = Reader->call(RequestBytes);
+        CHECK(Result.Status == 200);
+        CHECK(Result.Body == Kind.Body);
+      }
+}
+
+// An upstream may respond before it has read a long request, and the end of its
+// connection may be the end of the response.
+TEST_CASE("an early response and one without a length are accepted whole") {
+  enum class ending {
+    ReadsOn,    // keeps the connection and reads the rest of the request
+    HalfCloses, // ends its side and reads the rest of the request
+    Closes,     // ends its side and closes without reading the rest
+    Resets,
+  };
+  struct sound_case {
+    const char *Name;
+    framing Framing;
+    ending Ending;
+  };
+  const sound_case Cases[] = {
+      {"length, reads on", framing::Length, ending::ReadsOn},
+      {"length, half-closes", framing::Length, ending::HalfCloses},
+      {"length, closes", framing::Length, ending::Closes},
+      {"length, resets", framing::Length, ending::Resets},
+      {"chunked, reads on", framing::Chunked, ending::ReadsOn},
+      {"chunked, half-closes", framing::Chunked, ending::HalfCloses},
+      {"chunked, closes", framing::Chunked, ending::Closes},
+      {"chunked, resets", framing::Chunked, ending::Resets},
+      {"no length, half-closes", framing::None, ending::HalfCloses},
+      {"no length, closes", framing::None, ending::Closes},
+  };
+  for (const response_reader_kind &Kind : ResponseReaders)
+    for (const sound_case &Case : Cases)
+      for (const bool Early : {true, false})
+        for (const bool Kept : {false, true}) {
+          CAPTURE(std::string(Kind.Name));
+          CAPTURE(std::string(Case.Name));
+          CAPTURE(Early);
+          CAPTURE(Kept);
+          if (Kept && !Kind.KeepsConnections)
+            continue;
+          scripted_peer Peer(Kind, Kept, [&](upstream_connection &Connection) {
+            if (Early ? !Connection.readHead() : !Connection.read())
+              return;
+            Connection.send(soundResponse(Kind, Case.Framing));
+            if (Case.Ending == ending::Resets)
+              return Connection.reset();
+            if (Case.Ending != ending::ReadsOn)
+              Connection.shutdownSend();
+            if (Case.Ending == ending::Closes)
+              return Connection.close();
+            Connection.drain();
+          });
+          const auto Result =
+              Peer.call(Early ? LongRequestBytes : ShortRequestBytes);
+          const bool Accepted =
+              Case.Framing != framing::None || Kind.AcceptsNoLength;
+          CHECK(Result.Status == (Accepted ? 200 : 502));
+          CHECK((Result.Body == Kind.Body) == Accepted);
+        }
+}
--- a/tests/support/http_fixture.h
+++ b/tests/support/http_fixture.h
@@ -5,6 +5,7 @@
 
 #include "hyssopledge/transport/data_plane.h"
 
+#include <array>
 #include <atomic>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
@@ -98,6 +99,14 @@
       return std::nullopt;
     return Parser.release();
   }
+  /// Reads the head of the next request and leaves its body to the kernel.
+  bool readHead() {
+    boost::system::error_code Error;
+    http::request_parser<http::empty_body> Parser;
+    Parser.body_limit(64 * 1024 * 1024);
+    http::read_header(Socket, Buffer, Parser, Error);
+    return !Error;
+  }
   void send(const std::string &Bytes) {
     boost::system::error_code Ignored;
     asio::write(Socket, asio::buffer(Bytes), Ignored);
@@ -121,11 +130,29 @@
     boost::system::error_code Error;
     return Socket.read_some(asio::buffer(&Byte, 1), Error) == 0 && Error;
   }
+  /// Ends the connection in the direction of the peer only.
+  void shutdownSend() {
+    boost::system::error_code Ignored;
+    Socket.shutdown(tcp::socket::shutdown_send, Ignored);
+  }
+  /// Discards what the peer sends until it closes the connection.
+  void drain() {
+    std::array<char, 64 * 1024> Bytes;
+    boost::system::error_code Error;
+    while (!Error)
+      Socket.read_some(asio::buffer(Bytes), Error);
+  }
   void close() {
     boost::system::error_code Ignored;
     Socket.shutdown(tcp::socket::shutdown_both, Ignored);
     Socket.close(Ignored);
   }
+  /// Closes the connection with a reset.
+  void reset() {
+    boost::system::error_code Ignored;
+    Socket.set_option(tcp::socket::linger(true, 0), Ignored);
+    Socket.close(Ignored);
+  }
 
   const unsigned Number; // 0 for the first connection of the upstream
 
--- a/tests/support/mesh_fixture.h
+++ b/tests/support/mesh_fixture.h
@@ -114,12 +114,12 @@
 };
 
 inline std::shared_ptr<const state::route_table>
-testTable(milliseconds Timeout) {
+testTable(milliseconds Timeout, std::size_t MaxBodyBytes = 4096) {
   state::document Document;
   state::service_spec Service;
   Service.Name = "pages";
   Document.Services = {Service};
-  Document.Limits.BodyBytes = 4096;
+  Document.Limits.BodyBytes = MaxBodyBytes;
   Document.Limits.HeaderBytes = 2048;
   for (const bool Idempotent : {true, false}) {
     state::route_spec Route;
