tests: a response with status 000 is refused wherever responses are read

Callers saw, on other systems: an upstream in trouble answered with status 000 and the caller got it as a response. Here the client pool refuses it since, but only the upstream of hyssop_mesh had a test, with a length and on a first use. Change: tests only. 000, with and without a reason and behind an interim response, 042, 099, 600, 999 and statuses of two and four digits, at each place where responses are read, in each framing, on a first use and on a kept connection.

--- a/tests/broken_responses_test.cpp
+++ b/tests/broken_responses_test.cpp
@@ -237,3 +237,68 @@
           CHECK((Result.Body == Kind.Body) == Accepted);
         }
 }
+
+//-----------------------------------------------------------------------------
+// Heads
+//-----------------------------------------------------------------------------
+
+namespace {
+
+struct head_case {
+  const char *Name;
+  std::string Begin; // up to and with the status line
+  std::string Line;  // of the head, behind the other fields
+  bool Accepted;
+};
+
+/// Makes a call for each case, framing and place where responses are read, on a
+/// first use and on a kept connection.
+void checkHeads(const std::vector<head_case> &Cases) {
+  for (const response_reader_kind &Kind : ResponseReaders)
+    for (const head_case &Case : Cases)
+      for (const framing Framing : AllFramings)
+        for (const bool Kept : {false, true}) {
+          if (Kept && !Kind.KeepsConnections)
+            continue;
+          CAPTURE(std::string(Kind.Name));
+          CAPTURE(std::string(Case.Name));
+          CAPTURE(std::string(framingName(Framing)));
+          CAPTURE(Kept);
+          blocking_queue<unsigned> Runs; // the numbers of their connections
+          scripted_peer Peer(Kind, Kept, [&](upstream_connection &Connection) {
+            if (!Connection.read())
+              return;
+            Runs.push(Connection.Number);
+            Connection.send(Case.Begin + Kind.Fields + Case.Line +
+                            framedBody(Framing, Kind.Body));
+          });
+          const auto Result = Peer.call(ShortRequestBytes);
+          const bool Accepted = Case.Accepted && (Framing != framing::None ||
+                                                  Kind.AcceptsNoLength);
+          CHECK(Result.Status == (Accepted ? 200 : 502));
+          CHECK((Result.Body == Kind.Body) == Accepted);
+          CHECK(Runs.pop() == 0U);
+          CHECK_FALSE(Runs.pop(milliseconds(0)).has_value());
+        }
+}
+
+} // namespace
+
+TEST_CASE("a response whose status is not that of a response is not accepted") {
+  const std::string Interim = "HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n";
+  checkHeads({
+      {"200", StatusLine, "", true},
+      {"200 without a reason", "HTTP/1.1 200 \r\n", "", true},
+      {"200 behind an interim response", Interim + StatusLine, "", true},
+      {"000", "HTTP/1.1 000 X\r\n", "", false},
+      {"000 without a reason", "HTTP/1.1 000 \r\n", "", false},
+      {"000 behind an interim response", Interim + "HTTP/1.1 000 X\r\n", "",
+       false},
+      {"042", "HTTP/1.1 042 X\r\n", "", false},
+      {"099", "HTTP/1.1 099 X\r\n", "", false},
+      {"600", "HTTP/1.1 600 X\r\n", "", false},
+      {"999", "HTTP/1.1 999 X\r\n", "", false},
+      {"two digits", "HTTP/1.1 20 X\r\n", "", false},
+      {"four digits", "HTTP/1.1 2000 X\r\n", "", false},
+  });
+}
