client pool: a response with a folded line in its head or trailer is invalid

Callers saw: an upstream in trouble answered with a line in the head whose field name began with a blank or a tab. The caller got the answer, with that line as a part of the field before it. If the line was a length or a transfer coding it was not applied, and the body was read to the close instead, framing and all (MIXED). Cause: the parser of Boost.Beast takes such a line for a folded one (obs-fold) and joins it to the value before it. Blanks and control bytes elsewhere in a name are refused by it. Change: response_parser refuses folded lines, as RFC 9112, section 5.2, allows a proxy to. A value that is not folded is on the line of its name in the input, which the parser checks. The outcome is unknown, as after any response that is no HTTP.

--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -1,10 +1,11 @@
 #include "hyssopledge/transport/http_client_pool.h"
 
+#include "hyssopledge/transport/response_parser.h"
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <charconv>
@@ -428,7 +429,7 @@
   send_options Options;
   asio::steady_timer Timer;
   std::unique_ptr<connection> Connection;
-  std::optional<http::response_parser<bounded_string_body>> Parser;
+  std::optional<response_parser> Parser;
   byte_share HeldBytes;
   std::size_t ReceivedBytes = 0; // of this response
   unsigned SkippedResponses = 0;
--- a/tests/broken_responses_test.cpp
+++ b/tests/broken_responses_test.cpp
@@ -302,3 +302,67 @@
       {"four digits", "HTTP/1.1 2000 X\r\n", "", false},
   });
 }
+
+TEST_CASE("a response with a malformed field name is not accepted") {
+  using namespace std::string_literals;
+  std::vector<head_case> Cases = {
+      {"empty value", StatusLine, "X-A:\r\n", true},
+      {"blanks around the value", StatusLine, "X-A: \t1 2\t \r\n", true},
+      {"value beyond ASCII", StatusLine, "X-A: \xe4\r\n", true},
+  };
+  const std::pair<const char *, std::string> Malformed[] = {
+      {"blank inside", "X A: 1\r\n"},
+      {"blank before the colon", "X-A : 1\r\n"},
+      {"tab before the colon", "X-A\t: 1\r\n"},
+      {"blank first", " X-A: 1\r\n"},
+      {"tab first", "\tX-A: 1\r\n"},
+      {"blank before a length", " Content-Length: 3\r\n"},
+      {"tab before a length", "\tContent-Length: 3\r\n"},
+      {"blank behind a length", "Content-Length : 3\r\n"},
+      {"blank before a coding", " Transfer-Encoding: chunked\r\n"},
+      {"blank behind a coding", "Transfer-Encoding : chunked\r\n"},
+      {"control byte first", "\x01X-A: 1\r\n"},
+      {"control byte inside", "X\vA: 1\r\n"},
+      {"control byte before the colon", "X-A\x7f: 1\r\n"},
+      {"zero byte", "X\0A: 1\r\n"s},
+      {"line feed", "X\nA: 1\r\n"},
+      {"carriage return", "X\rA: 1\r\n"},
+      {"carriage return first", "\rX-A: 1\r\n"},
+      {"no name", ": 1\r\n"},
+  };
+  for (const auto &[Name, Line] : Malformed) {
+    // Behind a value, behind none, and as the first line.
+    Cases.push_back({Name, StatusLine, "X-B: 1\r\n" + Line, false});
+    Cases.push_back({Name, StatusLine, "X-B:\r\n" + Line, false});
+    Cases.push_back({Name, StatusLine + Line, "", false});
+  }
+  checkHeads(Cases);
+}
+
+TEST_CASE("a response with a malformed trailer field is not accepted") {
+  struct trailer_case {
+    const char *Name;
+    const char *Trailer;
+    bool Accepted;
+  };
+  const trailer_case Cases[] = {
+      {"sound", "X-A: 1\r\n", true},
+      {"blank inside", "X A: 1\r\n", false},
+      {"blank first", "X-B: 1\r\n X-A: 1\r\n", false},
+      {"tab first", "X-B: 1\r\n\tX-A: 1\r\n", false},
+      {"control byte", "X\vA: 1\r\n", false},
+  };
+  for (const response_reader_kind &Kind : ResponseReaders)
+    for (const trailer_case &Case : Cases) {
+      CAPTURE(std::string(Kind.Name));
+      CAPTURE(std::string(Case.Name));
+      scripted_peer Peer(Kind, false, [&](upstream_connection &Connection) {
+        if (!Connection.read())
+          return;
+        const std::string Sound = soundResponse(Kind, framing::Chunked);
+        Connection.send(Sound.substr(0, Sound.size() - 2) + Case.Trailer +
+                        "\r\n");
+      });
+      CHECK(Peer.call(ShortRequestBytes).Status == (Case.Accepted ? 200 : 502));
+    }
+}
