client pool: a response with status 101 is invalid

Found while looking for the cause of a passed-on 000 wherever responses are read. Cause: the pool took 101 for a final status. The field Upgrade of a caller is not forwarded, so no peer may answer with it. Change: the pool refuses 101 like a status that is none.

--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -65,6 +65,8 @@
 constexpr unsigned MaxSkippedResponses = 16;
 // Status codes of HTTP (RFC 9110, section 15).
 constexpr unsigned MinStatus = 100;
+constexpr unsigned SwitchingProtocols = 101;
+constexpr unsigned MinFinalStatus = 200;
 constexpr unsigned MaxStatus = 599;
 
 /// Returns the idle timeout of the server from its Keep-Alive field, none when
@@ -351,12 +353,14 @@
       return finish(exchange_error::ConnectionClosed,
                     "answer of " + Address + ": " + WriteError.message());
     const unsigned Status = Parser->get().result_int();
-    // The parser accepts any three digits.
-    if (Status < MinStatus || Status > MaxStatus)
+    // The parser accepts any three digits. No request asks for a change of the
+    // protocol.
+    if (Status < MinStatus || Status > MaxStatus ||
+        Status == SwitchingProtocols)
       return finish(exchange_error::InvalidResponse,
                     "answer of " + Address + ": status " +
                         std::to_string(Status));
-    const bool Interim = Status >= 100 && Status < 200 && Status != 101;
+    const bool Interim = Status < MinFinalStatus;
     auto Parsed = Parser->release();
     exchange_result Result;
     Result.Outcome = exchange_outcome::Complete;
@@ -380,7 +384,7 @@
     // server would read the next request as the rest of this one.
     const bool Reusable = Parser->keep_alive() && WriteFinished &&
                           !WriteError && !Parser->need_eof() &&
-                          Connection->Buffer.size() == 0 && Status != 101;
+                          Connection->Buffer.size() == 0;
     if (Reusable)
       Core->store(Address, std::move(Connection),
                   keepAliveTimeout(Result.Response));
--- a/tests/broken_responses_test.cpp
+++ b/tests/broken_responses_test.cpp
@@ -295,6 +295,7 @@
       {"000 behind an interim response", Interim + "HTTP/1.1 000 X\r\n", "",
        false},
       {"042", "HTTP/1.1 042 X\r\n", "", false},
+      {"101, not asked for", "HTTP/1.1 101 X\r\n", "", false},
       {"099", "HTTP/1.1 099 X\r\n", "", false},
       {"600", "HTTP/1.1 600 X\r\n", "", false},
       {"999", "HTTP/1.1 999 X\r\n", "", false},
