tests: a refusal in a broken response does not count as not run

Cause: a refusal that says "not run" lets the request be sent again, also one that may run once at most, so a broken one must not be believed. Change: tests only, a row for each kind of broken response beside sound refusals, at the five places that know refusals.

--- a/tests/broken_responses_test.cpp
+++ b/tests/broken_responses_test.cpp
@@ -367,3 +367,52 @@
       CHECK(Peer.call(ShortRequestBytes).Status == (Case.Accepted ? 200 : 502));
     }
 }
+
+//-----------------------------------------------------------------------------
+// Promises
+//-----------------------------------------------------------------------------
+
+// A refusal lets the caller send the request again, also one that may run once
+// at most.
+TEST_CASE("a refusal in a broken response does not count as not run") {
+  struct refusal_case {
+    const char *Name;
+    const char *Status;  // in place of that of the refusal
+    const char *Line;    // of the head, behind the other fields
+    framing Framing;     // of the body
+    bool Reset;          // while the request is written
+    unsigned CallStatus; // expected
+  };
+  const refusal_case Cases[] = {
+      {"sound", "503", "", framing::Length, false, 503},
+      {"sound, early", "503", "", framing::Length, true, 503},
+      {"status 000", "000", "", framing::Length, false, 502},
+      {"blank in a name", "503", "X A: 1\r\n", framing::Length, false, 502},
+      {"blank first", "503", " X-A: 1\r\n", framing::Length, false, 502},
+      {"cut, without a length", "503", "", framing::None, true, 502},
+  };
+  for (const response_reader_kind &Kind : ResponseReaders)
+    for (const refusal_case &Case : Cases) {
+      if (Kind.Refusal.empty())
+        continue;
+      CAPTURE(std::string(Kind.Name));
+      CAPTURE(std::string(Case.Name));
+      std::string Response = Kind.Refusal;
+      Response.replace(Response.find("503"), 3, Case.Status);
+      Response += Case.Line + framedBody(Case.Framing, "refused");
+      std::atomic<unsigned> Requests{0};
+      scripted_peer Peer(Kind, false, [&](upstream_connection &Connection) {
+        if (Case.Reset ? !Connection.readHead() : !Connection.read())
+          return;
+        ++Requests;
+        Connection.send(Response);
+        if (Case.Reset)
+          Connection.reset();
+      });
+      CHECK(
+          Peer.call(Case.Reset ? LongRequestBytes : ShortRequestBytes).Status ==
+          Case.CallStatus);
+      if (Case.CallStatus == 502) // a refused request may be sent again
+        CHECK(Requests == 1);
+    }
+}
--- a/tests/support/response_readers.h
+++ b/tests/support/response_readers.h
@@ -38,6 +38,8 @@
   /// Lines and body of a success of this peer.
   std::string Fields;
   std::string Body;
+  /// Head of a refusal of a request that has not run; empty: there is none.
+  std::string Refusal;
   bool AcceptsNoLength; // a response without a length, ended by a close
   bool KeepsConnections = true;
 };
@@ -221,18 +223,22 @@
 
 inline const response_reader_kind ResponseReaders[] = {
     {"hyssop_mesh, its upstream", makeReader<mesh_upstream_reader>,
-     SignatureField, "the whole body", true},
+     SignatureField, "the whole body", "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n",
+     true},
     {"hyssop_mesh, another daemon", makeReader<mesh_peer_reader>,
      SignatureField + std::string("x-hyssop-answer: ran||0\r\n"),
-     "the whole body", false},
+     "the whole body", "HTTP/1.1 503 X\r\nx-hyssop-answer: not-run|full|0\r\n",
+     false},
     {"hyssopd, its upstream", makeReader<data_plane_upstream_reader>, "",
-     "the whole body", false},
+     "the whole body", "HTTP/1.1 503 X\r\nx-hyssop-outcome: not-run\r\n",
+     false},
     {"hyssopd, another daemon", makeReader<data_plane_peer_reader>,
-     "x-hyssop-outcome: ran\r\n", "the whole body", false},
+     "x-hyssop-outcome: ran\r\n", "the whole body",
+     "HTTP/1.1 503 X\r\nx-hyssop-outcome: not-run\r\n", false},
     {"the platform's store", makeReader<store_reader>, "",
-     R"({"revision":412})", false},
+     R"({"revision":412})", "HTTP/1.1 503 X\r\n", false},
     {"a document of another daemon", makeReader<document_reader>, "",
-     transport::compressText("the document"), false, false},
+     transport::compressText("the document"), "", false, false},
 };
 
 } // namespace hyssopledge::tests
