client pool and its test of broken responses: comments, includes, private members

Cause: the reading of the change as a newcomer found a comment whose "it" was unclear, includes missing and unused in the test, and members of the test's peer that only it uses. Change: wording, includes and access only; no check, row or statement of the product is changed.

--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -304,9 +304,9 @@
                           });
   }
 
-  /// The end of a close-delimited response depends on the error of a pending
-  /// write, and Asio does not promise that the handler of a write that has
-  /// failed runs before that of a later read. It is in the queue by now.
+  /// Whether the end of a close-delimited response is a reset is known from the
+  /// pending write. If that has failed, its handler may still be behind this
+  /// one in the queue: Asio promises no order between the two.
   void onReadEnd(const error_code &Error) {
     if (Error || WriteFinished || !Parser->need_eof())
       return onRead(Error);
@@ -440,7 +440,7 @@
   bool Reused = false; // the connection carried an earlier request
   bool MayBeWritten = false;
   bool WriteFinished = false;
-  error_code WriteError;
+  error_code WriteError; // valid when WriteFinished
   bool Done = false;
 };
 
--- a/hyssopledge/transport/http_client_pool.h
+++ b/hyssopledge/transport/http_client_pool.h
@@ -39,7 +39,7 @@
   /// unless it is small.
   std::shared_ptr<byte_budget> BodyBudget;
   /// Accept responses without a length, which end when the server closes the
-  /// connection.
+  /// connection; one that a reset ends is not complete.
   bool AllowCloseDelimitedResponse = false;
   /// Above 0: closes a connection after about this time without TCP
   /// acknowledgements of the peer, also while it waits for a response.
@@ -64,7 +64,7 @@
   ConnectionClosed, // the peer closed or reset the connection
   Timeout,          // the deadline passed
   Cancelled,        // by client_exchange::cancel()
-  InvalidResponse,  // not HTTP, no HTTP status, too large, or without a length
+  InvalidResponse,  // not HTTP, no final status, too large, or without a length
   OverBudget,       // this process holds too many bytes of responses
 };
 
--- a/tests/broken_responses_test.cpp
+++ b/tests/broken_responses_test.cpp
@@ -7,9 +7,11 @@
 #include "support/response_readers.h"
 
 #include <atomic>
-#include <optional>
+#include <cstdio>
+#include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 using namespace hyssopledge;
@@ -68,7 +70,7 @@
 public:
   scripted_peer(const response_reader_kind &Kind, bool Kept,
                 const scripted_upstream::script &Next)
-      : Kept(Kept), Server([=, this](upstream_connection &Connection) {
+      : Kept(Kept), Server([=](upstream_connection &Connection) {
           if (Kept) {
             if (!Connection.read())
               return;
@@ -85,6 +87,7 @@
     return Reader->call(RequestBytes);
   }
 
+private:
   const bool Kept;
   scripted_upstream Server;
   std::unique_ptr<response_reader> Reader;
@@ -96,7 +99,7 @@
 // Resets
 //-----------------------------------------------------------------------------
 
-// The reset was reported to the pending write only, and the read ended as if
+// The error of the reset went to the pending write, and the read ended as if
 // the upstream had closed the connection behind the response.
 TEST_CASE("a response that is cut by a reset is not accepted") {
   struct reset_case {
@@ -156,8 +159,7 @@
         {
           scripted_peer Peer(Kind, false, SendCut);
           const unsigned Status = Peer.call(RequestBytes).Status;
-          // Nothing has run, but a peer that has not read the request can't be
-          // told from one that has.
+          // 503 if no byte was written; later the request may have run.
           CHECK((Status == 502 || Status == 503));
         }
         if (!Kind.KeepsConnections)
@@ -248,7 +250,7 @@
   const char *Name;
   std::string Begin; // up to and with the status line
   std::string Line;  // of the head, behind the other fields
-  bool Accepted;
+  bool Accepted;     // by those who accept the framing
 };
 
 /// Makes a call for each case, framing and place where responses are read, on a
