tests: a caller that closes its side behind its request is answered (known to fail)

Callers see: one that half-closes its connection behind a request gets a closed connection without a byte, and nothing runs for it. Cause: the listener takes the close for that of a caller who has left, for whom nothing may run any longer (GONE); until something is sent the kernel shows both alike, so it is not mended here.

--- a/tests/broken_responses_test.cpp
+++ b/tests/broken_responses_test.cpp
@@ -418,3 +418,39 @@
         CHECK(Requests == 1);
     }
 }
+
+// KNOWN-RED.txt: the daemons take the close for that of a caller who has left.
+TEST_CASE("a caller that closes its side behind its request is answered") {
+  struct half_close_case {
+    const char *Name;
+    milliseconds RunTime; // of the request at the upstream
+  };
+  for (const half_close_case &Case :
+       {half_close_case{"at once", milliseconds(0)},
+        half_close_case{"later", milliseconds(100)}}) {
+    CAPTURE(std::string(Case.Name));
+    const auto Script = [&](upstream_connection &Connection) {
+      while (Connection.read()) {
+        std::this_thread::sleep_for(Case.RunTime);
+        Connection.respond("the whole body", 200, SignatureField);
+      }
+    };
+    const auto CallAndHalfClose = [](const std::string &Address,
+                                     const http_request &Request) {
+      blocking_caller Caller(Address);
+      Caller.send(Request);
+      Caller.shutdownSend();
+      return Caller.receive();
+    };
+    mesh Mesh({Script});
+    const auto FromMesh = CallAndHalfClose(
+        Mesh.Entry.address(), shopRequest(http::verb::get, "/look/1"));
+    CHECK(FromMesh.result_int() == 200);
+    CHECK(FromMesh.body() == "the whole body");
+    one_hop Hop(Script);
+    const auto FromDataPlane = CallAndHalfClose(
+        Hop.Entry.address(), makeRequest(http::verb::get, "/look"));
+    CHECK(FromDataPlane.result_int() == 200);
+    CHECK(FromDataPlane.body() == "the whole body");
+  }
+}
--- a/tests/support/http_fixture.h
+++ b/tests/support/http_fixture.h
@@ -285,6 +285,8 @@
     send(Request);
     return receive();
   }
+  /// Ends the connection in the direction of the peer only.
+  void shutdownSend() { Socket.shutdown(tcp::socket::shutdown_send); }
   void close() { Socket.close(); }
 
 private:
