tests: the peer of the refusal test keeps its connection open

The test's peer closed it behind the refusal without saying so; a late close crossed the second send, and its outcome was rightly unknown. Change: the peer serves until the daemon closes. Checks, rows and bounds are as they were.

--- a/tests/broken_responses_test.cpp
+++ b/tests/broken_responses_test.cpp
@@ -404,12 +404,15 @@
       Response += Case.Line + framedBody(Case.Framing, "refused");
       std::atomic<unsigned> Requests{0};
       scripted_peer Peer(Kind, false, [&](upstream_connection &Connection) {
-        if (Case.Reset ? !Connection.readHead() : !Connection.read())
-          return;
-        ++Requests;
-        Connection.send(Response);
-        if (Case.Reset)
-          Connection.reset();
+        // Until the daemon closes: it may send a refused request again on this
+        // connection, and a close that crosses it makes the outcome unknown.
+        while (Case.Reset ? Connection.readHead()
+                          : Connection.read().has_value()) {
+          ++Requests;
+          Connection.send(Response);
+          if (Case.Reset)
+            return Connection.reset();
+        }
       });
       CHECK(
           Peer.call(Case.Reset ? LongRequestBytes : ShortRequestBytes).Status ==
