--- a/review/standin-3/drain_ack.cc
+++ b/review/standin-3/drain_ack.cc
@@ -1,5 +1,5 @@
 /// \file
-/// Case 11: a target leaves, its daemon acknowledges this and is killed before
+/// Case 14: a target leaves, its daemon acknowledges this and is killed before
 /// the store has the change. Part 1: right after the acknowledgement, the store
 /// works. Part 2: 1.5 s later, at the end of an outage of the store.
 #include "fleet.hpp"
@@ -69,7 +69,7 @@
   for (const run_record &Run : Fleet.Log.all()) {
     if (Run.Target != Leaving.Name || Run.At <= AckAt + DrainMs)
       continue;
-    const int Status = Clients.answer(Run.Id);
+    const int Status = Clients.of(Run.Id).Status;
     Lost += Status == 200 ? 0 : 1;
     if (Run.At <= From) {
       ++LateOutOfTouch;
