Review case 14: an acknowledged leaving is forgotten over a restart (DRAIN)

Cause: the daemon beside a target acknowledges a deregistration before the store has its record. When it is killed then and started again, it takes its former record, "serving", from the store and announces it with a newer incarnation.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Exits with 1 if RECOVER was broken, 0 if it held, 2 if the case could not run.
+# Exits with 1 if DRAIN was broken, 0 if it held, 2 if the case could not run.
 # TROUBLE=0: the same without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-driver=target/review-3/stuck_callers
+driver=target/review-3/drain_ack
 daemon=target/apps/hyssop_mesh/hyssop_mesh
 [ -x "$driver" ] && [ -x "$daemon" ] || exit 2
 folder=$(mktemp -d) || exit 2
