--- a/hyssopledge/transport/entry_call.cpp
+++ b/hyssopledge/transport/entry_call.cpp
@@ -166,11 +166,14 @@
                            : History.TriedOldVersion) = true;
     ++Attempts;
     Core.Dependencies.Stats.recordStart(Target.Target);
+    send_options Options;
+    Options.FromDaemon = true;
     OutboundExchange = Loop.Pool.send(
         Target.Target.Address, buildForwardedRequest(), Call.Deadline,
         [Self = shared_from_this()](exchange_result Result) {
           Self->onAttemptEnd(std::move(Result));
-        });
+        },
+        std::move(Options));
   }
 
   http_request buildForwardedRequest() {
@@ -190,7 +193,7 @@
     Request.set(headers::Depth, std::to_string(Call.Depth + 1));
     if (Span)
       injectTrace(*Core.Options.Tracer, Span->context(), Request);
-    Request.prepare_payload();
+    setContentLength(Request, Request.body().size());
     return Request;
   }
 
--- a/hyssopledge/transport/http_client_pool.cpp
+++ b/hyssopledge/transport/http_client_pool.cpp
@@ -1,6 +1,6 @@
 #include "hyssopledge/transport/http_client_pool.h"
 
-#include "hyssopledge/transport/response_parser.h"
+#include "hyssopledge/transport/message_parser.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -27,7 +27,8 @@
 
 struct http_client_pool::connection {
   explicit connection(asio::io_context &Context)
-      : Socket(Context), Buffer(MaxUnparsedBytes) {}
+      : Socket(Context),
+        Buffer(forwardedHeaderLimit(MaxHeaderBytes) + MaxTrailerBytes) {}
 
   /// Returns false when the peer has closed the connection or has sent bytes
   /// that belong to no request.
@@ -38,8 +39,8 @@
            (errno == EAGAIN || errno == EWOULDBLOCK);
   }
 
-  // Bounds a header, and a line between chunks, which the parser does not.
-  static constexpr std::size_t MaxUnparsedBytes = MaxHeaderBytes + 64 * 1024;
+  // Bounds a line between chunks and a trailer, which the parser does not.
+  static constexpr std::size_t MaxTrailerBytes = 64 * 1024;
   tcp::socket Socket;
   beast::flat_buffer Buffer;
   state::time_point IdleSince{};
@@ -194,7 +195,7 @@
         Deadline(Deadline), Handler(std::move(Handler)),
         Options(std::move(Options)), Timer(this->Core->Context),
         HeldBytes(this->Core->Options.BodyBudget) {
-    Request.prepare_payload();
+    setContentLength(Request, Request.body()->size());
   }
 
   void start() {
@@ -286,7 +287,9 @@
   void read() {
     Parser.emplace();
     Parser->body_limit(Core->Options.MaxBodyBytes);
-    Parser->header_limit(MaxHeaderBytes);
+    Parser->setHeaderLimit(Options.FromDaemon
+                               ? forwardedHeaderLimit(MaxHeaderBytes)
+                               : MaxHeaderBytes);
     Parser->skip(Request.method() == http::verb::head);
     ReceivedBytes = 0;
     readSome();
@@ -361,11 +364,9 @@
                     "answer of " + Address + ": status " +
                         std::to_string(Status));
     const bool Interim = Status < MinFinalStatus;
-    auto Parsed = Parser->release();
     exchange_result Result;
     Result.Outcome = exchange_outcome::Complete;
-    Result.Response =
-        http_response(std::move(Parsed.base()), std::move(Parsed.body()));
+    Result.Response = Parser->release();
     if (Interim ||
         (Options.AcceptResponse && !Options.AcceptResponse(Result.Response))) {
       if (++SkippedResponses > MaxSkippedResponses)
@@ -427,7 +428,7 @@
 
   std::shared_ptr<core> Core;
   std::string Address;
-  http::request<shared_string_body> Request;
+  http::request<shared_string_body, header_fields> Request;
   state::time_point Deadline;
   handler Handler;
   send_options Options;
--- a/hyssopledge/transport/http_client_pool.h
+++ b/hyssopledge/transport/http_client_pool.h
@@ -50,6 +50,9 @@
   /// Returns false for a response that belongs to another request: it is
   /// discarded and the next one is read. Empty: all responses are accepted.
   std::function<bool(const http_response &)> AcceptResponse;
+  /// The peer is a daemon that passes on the response of an upstream. Its
+  /// header may have forwardedHeaderLimit(MaxHeaderBytes).
+  bool FromDaemon = false;
 };
 
 enum class exchange_outcome {
--- a/hyssopledge/transport/http_listener.cpp
+++ b/hyssopledge/transport/http_listener.cpp
@@ -1,10 +1,11 @@
 #include "hyssopledge/transport/http_listener.h"
 
+#include "hyssopledge/transport/message_parser.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <cerrno>
@@ -101,6 +102,7 @@
   void onWritten(const error_code &Error);
   void startTimeout(boot_clock::duration Timeout);
   void armTimer();
+  bool isBufferFull() const;
   bool isPipelineFull() const;
 
   static constexpr std::size_t ReadBytes = 4 * 1024; // per read
@@ -125,8 +127,9 @@
   /// The connection is closed at this time if no response is pending.
   state::time_point InputDeadline{};
   beast::flat_buffer Buffer;
-  std::optional<http::request_parser<bounded_string_body>> Parser;
-  std::optional<http::response_serializer<http::string_body>> HeadSerializer;
+  std::optional<request_parser> Parser;
+  std::optional<http::response_serializer<http::string_body, header_fields>>
+      HeadSerializer;
   std::deque<std::shared_ptr<exchange>> Pending; // in order of arrival
 };
 
@@ -251,15 +254,17 @@
   });
 }
 
+/// A complete header fits into the buffer, or its end would never be read.
+bool http_listener::session::isBufferFull() const {
+  return Buffer.size() >= MinUnparsedBytes + Core->Options.MaxHeaderBytes;
+}
+
 bool http_listener::session::isPipelineFull() const {
   return Pending.size() >= Core->Options.MaxPipelinedRequests;
 }
 
 void http_listener::session::read() {
-  // A complete header must fit, or its end would never be read.
-  const std::size_t MaxUnparsedBytes =
-      MinUnparsedBytes + Core->Options.MaxHeaderBytes;
-  if (Reading || Closed || Buffer.size() >= MaxUnparsedBytes)
+  if (Reading || Closed || isBufferFull())
     return;
   Reading = true;
   // An idle connection holds no buffer.
@@ -328,7 +333,7 @@
       Parser.emplace();
       Parser->eager(true);
       Parser->body_limit(Core->Options.MaxBodyBytes);
-      Parser->header_limit(Core->Options.MaxHeaderBytes);
+      Parser->setHeaderLimit(Core->Options.MaxHeaderBytes);
       startTimeout(Core->Options.ReceiveTimeout);
     }
     const bool HadHeader = Parser->is_header_done();
@@ -350,9 +355,12 @@
           });
     }
     if (!Parser->is_done()) {
-      if (Used == 0)
-        return;
-      continue;
+      if (Used > 0)
+        continue;
+      // A trailer or a line between chunks, of which the parser needs the end.
+      if (isBufferFull())
+        respondInvalidInput(http::error::header_limit);
+      return;
     }
     // A request that is not idempotent is not run concurrently with the
     // requests before it.
@@ -366,11 +374,8 @@
 
 void http_listener::session::onRequest() {
   const bool KeepAlive = Parser->keep_alive();
-  auto Parsed = Parser->release();
   auto Exchange = std::make_shared<exchange>(
-      shared_from_this(),
-      http_request(std::move(Parsed.base()), std::move(Parsed.body())),
-      KeepAlive, LoopIndex);
+      shared_from_this(), Parser->release(), KeepAlive, LoopIndex);
   Parser.reset();
   Pending.push_back(Exchange);
   ++Core->Active;
--- a/hyssopledge/transport/http_message.cpp
+++ b/hyssopledge/transport/http_message.cpp
@@ -5,11 +5,14 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
+#include <limits>
 #include <nlohmann/json.hpp>
-#include <vector>
+#include <set>
+#include <string>
 
 namespace hyssopledge::transport {
 
+namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
 namespace {
@@ -20,12 +23,23 @@
 
 } // namespace
 
-void removeConnectionFields(http::fields &Fields) {
-  std::vector<std::string> Named;
+std::uint32_t forwardedHeaderLimit(std::uint64_t Limit) {
+  constexpr std::uint64_t AddedFieldBytes = 4 * 1024;
+  constexpr std::uint64_t ShortestLineBytes = 4; // a name, ":", a line break
+  constexpr std::uint64_t Max = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min(
+      Max, std::min(Max, Limit) + Limit / ShortestLineBytes + AddedFieldBytes));
+}
+
+void removeConnectionFields(header_fields &Fields) {
+  // In one pass: a caller may name as many fields as it sends.
+  std::set<std::string, beast::iless> Named;
   for (const auto &Name : http::token_list{Fields[http::field::connection]})
-    Named.emplace_back(Name);
-  for (const std::string &Name : Named)
-    Fields.erase(Name);
+    Named.emplace(Name);
+  if (!Named.empty())
+    Fields.eraseIf([&](const header_fields::value_type &Field) {
+      return Named.count(std::string(Field.name_string())) > 0;
+    });
   for (const http::field Field :
        {http::field::connection, http::field::keep_alive, http::field::te,
         http::field::trailer, http::field::transfer_encoding,
@@ -35,14 +49,15 @@
     Fields.erase(Field);
 }
 
-std::string_view fieldValue(const http::fields &Fields, std::string_view Name) {
+std::string_view fieldValue(const header_fields &Fields,
+                            std::string_view Name) {
   const auto Found = Fields.find(toBeast(Name));
   if (Found == Fields.end())
     return {};
   return {Found->value().data(), Found->value().size()};
 }
 
-std::optional<std::uint64_t> fieldNumber(const http::fields &Fields,
+std::optional<std::uint64_t> fieldNumber(const header_fields &Fields,
                                          std::string_view Name) {
   const std::string_view Text = fieldValue(Fields, Name);
   // Values of 18 digits can be added without overflow in signed 64 bits.
--- a/hyssopledge/transport/http_message.h
+++ b/hyssopledge/transport/http_message.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "hyssopledge/state/result.h"
+#include "hyssopledge/transport/header_fields.h"
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
@@ -23,14 +24,21 @@
 namespace hyssopledge::transport {
 
 using http_request =
-    boost::beast::http::request<boost::beast::http::string_body>;
+    boost::beast::http::request<boost::beast::http::string_body, header_fields>;
 using http_response =
-    boost::beast::http::response<boost::beast::http::string_body>;
+    boost::beast::http::response<boost::beast::http::string_body,
+                                 header_fields>;
 
 /// Size limits of one message, request or response.
 constexpr std::size_t MaxBodyBytes = 8 * 1024 * 1024;
 constexpr std::uint32_t MaxHeaderBytes = 16 * 1024;
 
+/// Returns the limit for the header of a message that another daemon passes on
+/// from a caller or an upstream, whose header is limited to this. Another
+/// daemon adds some fields, and a blank to a field that has none before its
+/// value.
+std::uint32_t forwardedHeaderLimit(std::uint64_t Limit);
+
 /// A string body for parsers. The reader of string_body reserves the announced
 /// length before any limit is checked, and throws if there is no memory for it.
 struct bounded_string_body : boost::beast::http::string_body {
@@ -125,16 +133,31 @@
 
 /// Removes the hop-by-hop fields (RFC 9110, section 7.6.1), including those
 /// named by the Connection field, and the Expect field.
-void removeConnectionFields(boost::beast::http::fields &Fields);
+void removeConnectionFields(header_fields &Fields);
+
+/// Sets the field for the length of the body, for a body of any method. The
+/// message's own prepare_payload() throws for some that can be received.
+template <class Body>
+void setContentLength(boost::beast::http::request<Body, header_fields> &Request,
+                      std::size_t BodyBytes) {
+  using boost::beast::http::verb;
+  // A server expects a length for these also without a body.
+  const bool ExpectsLength = Request.method() == verb::options ||
+                             Request.method() == verb::put ||
+                             Request.method() == verb::post;
+  if (BodyBytes > 0 || ExpectsLength)
+    Request.content_length(BodyBytes);
+  else
+    Request.chunked(false);
+}
 
 /// Returns the value of a field, empty when the field is absent.
-std::string_view fieldValue(const boost::beast::http::fields &Fields,
-                            std::string_view Name);
+std::string_view fieldValue(const header_fields &Fields, std::string_view Name);
 
 /// Returns the value of an unsigned decimal field; none when the field is
 /// absent or is not a number of at most 18 digits.
-std::optional<std::uint64_t>
-fieldNumber(const boost::beast::http::fields &Fields, std::string_view Name);
+std::optional<std::uint64_t> fieldNumber(const header_fields &Fields,
+                                         std::string_view Name);
 
 /// Makes a response that a daemon generates itself: a JSON body with error,
 /// reason and outcome, and the fields x-hyssop-outcome and x-hyssop-reason.
--- a/hyssopledge/transport/mesh_attempt.cpp
+++ b/hyssopledge/transport/mesh_attempt.cpp
@@ -83,12 +83,15 @@
 
 void mesh_plane::attempt::exchangeWithPeer(
     outgoing_request Request, void (attempt::*OnResult)(exchange_result)) {
+  send_options Options;
+  Options.FromDaemon = true;
   PeerExchange = Plane.Pool.send(
       To.HopAddress, std::move(Request), Deadline + HopResponseGracePeriod,
       [Self = shared_from_this(), OnResult](exchange_result Result) {
         if (Self->Call)
           (*Self.*OnResult)(std::move(Result));
-      });
+      },
+      std::move(Options));
 }
 
 void mesh_plane::attempt::onTransferAnswer(exchange_result Result) {
--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <limits>
 #include <utility>
 
 namespace hyssopledge::transport {
@@ -38,8 +39,6 @@
 // against the latencies of routes.
 constexpr milliseconds HedgeCheckInterval{20};
 constexpr std::size_t MaxPipelinedRequests = 16;
-// A hop carries one field more than the caller's request.
-constexpr std::uint32_t HopFieldBytes = 4 * 1024;
 
 milliseconds toMilliseconds(boot_clock::duration Time) {
   return std::chrono::duration_cast<milliseconds>(Time);
@@ -111,7 +110,8 @@
   Entry.ReceiveBudget = Options.ReceiveBudget;
   Entry.MaxConnections = Options.MaxEntryConnections;
   Entry.EvictsWaitingConnections = true;
-  Entry.MaxHeaderBytes = static_cast<std::uint32_t>(Limits.HeaderBytes);
+  Entry.MaxHeaderBytes = static_cast<std::uint32_t>(std::min<std::size_t>(
+      Limits.HeaderBytes, std::numeric_limits<std::uint32_t>::max()));
   Entry.MaxBodyBytes = Limits.BodyBytes;
   // Callers reuse connections within this limit and resend requests that
   // cross the close.
@@ -131,9 +131,8 @@
   Hop.EvictsWaitingConnections = true;
   // Whatever the entry daemons accept, also under a former document.
   Hop.MaxBodyBytes = std::max(Limits.BodyBytes, Hop.MaxBodyBytes);
-  Hop.MaxHeaderBytes = std::max(static_cast<std::uint32_t>(Limits.HeaderBytes),
-                                Hop.MaxHeaderBytes) +
-                       HopFieldBytes;
+  Hop.MaxHeaderBytes = forwardedHeaderLimit(
+      std::max<std::size_t>(Limits.HeaderBytes, Hop.MaxHeaderBytes));
   return Hop;
 }
 
--- a/hyssopledge/transport/target_call.cpp
+++ b/hyssopledge/transport/target_call.cpp
@@ -136,7 +136,7 @@
                 std::to_string(millisecondsLeft(Deadline, boot_clock::now())));
     if (Span)
       injectTrace(*Core.Options.Tracer, Span->context(), Request);
-    Request.prepare_payload();
+    setContentLength(Request, Request.body().size());
     return Request;
   }
 
--- a/hyssopledge/transport/tracing.cpp
+++ b/hyssopledge/transport/tracing.cpp
@@ -299,8 +299,7 @@
 
 class fields_reader final : public ot::HTTPHeadersReader {
 public:
-  explicit fields_reader(const boost::beast::http::fields &Fields)
-      : Fields(Fields) {}
+  explicit fields_reader(const header_fields &Fields) : Fields(Fields) {}
   ot::expected<ot::string_view> LookupKey(ot::string_view Key) const override {
     const auto Found = Fields.find({Key.data(), Key.size()});
     if (Found == Fields.end())
@@ -321,12 +320,12 @@
   }
 
 private:
-  const boost::beast::http::fields &Fields;
+  const header_fields &Fields;
 };
 
 class fields_writer final : public ot::HTTPHeadersWriter {
 public:
-  explicit fields_writer(boost::beast::http::fields &Fields) : Fields(Fields) {}
+  explicit fields_writer(header_fields &Fields) : Fields(Fields) {}
   ot::expected<void> Set(ot::string_view Key,
                          ot::string_view Value) const override {
     Fields.set({Key.data(), Key.size()},
@@ -335,7 +334,7 @@
   }
 
 private:
-  boost::beast::http::fields &Fields;
+  header_fields &Fields;
 };
 
 } // namespace
@@ -360,16 +359,15 @@
   });
 }
 
-std::unique_ptr<ot::SpanContext>
-extractTrace(const ot::Tracer &Tracer,
-             const boost::beast::http::fields &Fields) {
+std::unique_ptr<ot::SpanContext> extractTrace(const ot::Tracer &Tracer,
+                                              const header_fields &Fields) {
   const fields_reader Reader(Fields);
   auto Context = Tracer.Extract(Reader);
   return Context ? std::move(*Context) : nullptr;
 }
 
 void injectTrace(const ot::Tracer &Tracer, const ot::SpanContext &Context,
-                 boost::beast::http::fields &Fields) {
+                 header_fields &Fields) {
   const fields_writer Writer(Fields);
   (void)Tracer.Inject(Context, Writer);
 }
--- a/hyssopledge/transport/tracing.h
+++ b/hyssopledge/transport/tracing.h
@@ -5,8 +5,8 @@
 
 #include "hyssopledge/state/random.h"
 #include "hyssopledge/state/result.h"
+#include "hyssopledge/transport/header_fields.h"
 
-#include <boost/beast/http/fields.hpp>
 #include <functional>
 #include <memory>
 #include <opentracing/tracer.h>
@@ -32,12 +32,11 @@
 /// Returns the span context in the traceparent field, or null when the field is
 /// missing or malformed.
 std::unique_ptr<opentracing::SpanContext>
-extractTrace(const opentracing::Tracer &Tracer,
-             const boost::beast::http::fields &Fields);
+extractTrace(const opentracing::Tracer &Tracer, const header_fields &Fields);
 
 /// Sets the traceparent field to the span context.
 void injectTrace(const opentracing::Tracer &Tracer,
                  const opentracing::SpanContext &Context,
-                 boost::beast::http::fields &Fields);
+                 header_fields &Fields);
 
 } // namespace hyssopledge::transport
--- a/tests/admin_server_test.cpp
+++ b/tests/admin_server_test.cpp
@@ -244,7 +244,7 @@
   };
   for (const char *Case : Cases) {
     CAPTURE(Case);
-    http::fields Fields;
+    transport::header_fields Fields;
     Fields.set("traceparent", Case);
     CHECK(!transport::extractTrace(*Tracer, Fields));
   }
--- a/tests/support/http_fixture.h
+++ b/tests/support/http_fixture.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "hyssopledge/transport/data_plane.h"
+#include "hyssopledge/transport/message_parser.h"
 
 #include <array>
 #include <atomic>
@@ -92,7 +93,8 @@
   std::optional<http_request> read() {
     http_request Request;
     boost::system::error_code Error;
-    http::request_parser<http::string_body> Parser;
+    transport::request_parser Parser;
+    Parser.setHeaderLimit(MaxHeaderBytes);
     Parser.body_limit(64 * 1024 * 1024);
     http::read(Socket, Buffer, Parser, Error);
     if (Error)
@@ -102,11 +104,26 @@
   /// Reads the head of the next request and leaves its body to the kernel.
   bool readHead() {
     boost::system::error_code Error;
-    http::request_parser<http::empty_body> Parser;
+    transport::request_parser Parser;
+    Parser.setHeaderLimit(MaxHeaderBytes);
     Parser.body_limit(64 * 1024 * 1024);
     http::read_header(Socket, Buffer, Parser, Error);
     return !Error;
   }
+  /// Reads until the received bytes end with End. Returns them as they are;
+  /// empty when the peer closes the connection before.
+  std::string readUntil(const std::string &End) {
+    std::string Text;
+    std::array<char, 64 * 1024> Bytes;
+    boost::system::error_code Error;
+    while (!Text.ends_with(End)) {
+      const std::size_t Size = Socket.read_some(asio::buffer(Bytes), Error);
+      if (Error)
+        return {};
+      Text.append(Bytes.data(), Size);
+    }
+    return Text;
+  }
   void send(const std::string &Bytes) {
     boost::system::error_code Ignored;
     asio::write(Socket, asio::buffer(Bytes), Ignored);
@@ -158,6 +175,7 @@
 
 private:
   friend class scripted_upstream;
+  static constexpr std::uint32_t MaxHeaderBytes = 1024 * 1024;
   tcp::socket Socket;
   beast::flat_buffer Buffer;
 };
@@ -264,7 +282,9 @@
   void awaitResponse() { Socket.wait(asio::ip::tcp::socket::wait_read); }
   /// Returns the next response; status 0 when the connection ends before it.
   http_response receive() {
-    http::response_parser<http::string_body> Parser;
+    transport::response_parser Parser;
+    // More than that of a response of the limit, as daemons add fields.
+    Parser.setHeaderLimit(2 * transport::MaxHeaderBytes);
     Parser.body_limit(64 * 1024 * 1024);
     boost::system::error_code Error;
     http::read(Socket, Buffer, Parser, Error);
@@ -276,7 +296,7 @@
   }
   /// Returns the response to a HEAD request.
   http_response receiveHead() {
-    http::response_parser<http::string_body> Parser;
+    transport::response_parser Parser;
     Parser.skip(true);
     http::read(Socket, Buffer, Parser);
     return Parser.release();
