An acknowledged departure outlives the daemon (DRAIN)

Cause: the 200 was sent when the write to the store had only begun and nobody had confirmed a datagram; a restarted daemon announced, and wrote over the store, what an old read said; the others took its later start for newer in all parts; an upstream that came back with an earlier start time was ignored, and its drain acknowledged all the same.

Change: lasting_change decides when a departure may be acknowledged: the store has it, or, if that fails or takes 250 ms, three other daemons keep it. Departures are final in each directory, whatever the order of the records. A serving upstream is restored after a current read only, and the record on the platform replaced only then. Writes of the record follow one another. The registry tells a new start with an earlier time from late announcements.

--- a/apps/hyssop_mesh/mesh_daemon.cpp
+++ b/apps/hyssop_mesh/mesh_daemon.cpp
@@ -464,6 +464,15 @@
   publishUpstream(UpstreamClient->upstream().AcceptsConnections);
 }
 
+/// A call that is not acknowledged comes again.
+void mesh_daemon::acknowledge(
+    const std::shared_ptr<transport::server_exchange> &Call, bool IsKept) {
+  Call->respond(IsKept ? transport::makeResponse(200, "application/json", "{}")
+                       : transport::makeErrorResponse(
+                             503, transport::OutcomeNotRun, "not-kept",
+                             "the change is not kept by the store or others"));
+}
+
 void mesh_daemon::onInstanceCall(
     const std::shared_ptr<transport::server_exchange> &Call) {
   auto InstanceCall = Adapter.InstanceDialect.parseCall(Call->request());
@@ -477,6 +486,9 @@
   }
   const coordination::announcement &Announcement =
       InstanceCall.value().Announcement;
+  const bool IsLeaving =
+      InstanceCall.value().Kind == transport::instance_call_kind::Deregister ||
+      Announcement.State != coordination::upstream_state::Serving;
   const std::string FormerName = Registry.record().Name;
   auto Effect = coordination::registry_update::None;
   if (InstanceCall.value().Kind == transport::instance_call_kind::Deregister) {
@@ -501,8 +513,21 @@
     onUpstreamChanged(FormerName,
                       Registry.record().Name != FormerName ||
                           UpstreamClient->upstream().AcceptsConnections);
+  } else if (IsLeaving && Registry.record().Name.empty()) {
+    // This daemon has restarted and does not know the upstream yet.
+    upstream_record Departed;
+    Departed.Name = Announcement.Name;
+    Departed.Service = Settings.Service;
+    Departed.State = coordination::upstream_state::Gone;
+    Departed.StartUnixMs =
+        Announcement.StartUnixMs != 0 ? Announcement.StartUnixMs : unixNowMs();
+    Agent->setUpstream(Departed);
   }
-  Call->respond(transport::makeResponse(200, "application/json", "{}"));
+  if (!IsLeaving)
+    return acknowledge(Call, true);
+  if (!Registry.hasLeft(Announcement.Name, Announcement.StartUnixMs))
+    return acknowledge(Call, false);
+  Agent->whenDepartureLasts([Call](bool Lasts) { acknowledge(Call, Lasts); });
 }
 
 void mesh_daemon::onReadinessProbe(
--- a/apps/hyssop_mesh/mesh_daemon.h
+++ b/apps/hyssop_mesh/mesh_daemon.h
@@ -61,6 +61,9 @@
 
   //--- Events -----------------------------------------------------------------
   void onInstanceCall(const std::shared_ptr<transport::server_exchange> &Call);
+  static void
+  acknowledge(const std::shared_ptr<transport::server_exchange> &Call,
+              bool IsKept);
   void
   onReadinessProbe(const std::shared_ptr<transport::server_exchange> &Call);
   void onDocument(std::shared_ptr<const state::route_table> Table);
--- a/hyssopledge/coordination/fleet_agent.cpp
+++ b/hyssopledge/coordination/fleet_agent.cpp
@@ -27,8 +27,9 @@
   if (Old.State == upstream_state::None)
     return false;
   return New.State == upstream_state::None ||
+         New.StartUnixMs < Old.StartUnixMs ||
          (New.Name == Old.Name && New.StartUnixMs == Old.StartUnixMs &&
-          New.RequestLimit != Old.RequestLimit);
+          (New.RequestLimit != Old.RequestLimit || New.State < Old.State));
 }
 
 } // namespace
@@ -109,12 +110,66 @@
                        Self.Upstream.State != Upstream.State;
   Self.Upstream = Upstream;
   announceSelf();
+  const bool IsDeparture = Changed && Upstream.State > upstream_state::Serving;
+  if (IsDeparture)
+    Departure.begin(Self.Revision, Timers.now());
   // Writes the change to the platform, since a restarted daemon may find no
   // peer that received it.
-  if (Changed && (Registered || MembersReadAttempted))
+  if (Changed && (Registered || MembersReadAttempted || IsDeparture))
     registerSelf();
 }
 
+void fleet_agent::whenDepartureLasts(std::function<void(bool)> Handler) {
+  if (Departure.lasts(otherMembers()))
+    return Handler(true);
+  DepartureWaits.push_back(
+      {std::move(Handler), Timers.now() + Timing.DepartureTimeout});
+  if (!DepartureTimer)
+    DepartureTimer = Timers.every(
+        Timing.KeepInterval, [this](time_point Now) { checkDeparture(Now); });
+}
+
+/// Asks other daemons to keep the record if the store does not get it, and ends
+/// the waits that are over.
+void fleet_agent::checkDeparture(time_point Now) {
+  const bool Lasts = Departure.lasts(otherMembers());
+  std::vector<departure_wait> Ended;
+  std::erase_if(DepartureWaits, [&](departure_wait &Wait) {
+    const bool Ends = Lasts || Now >= Wait.Deadline;
+    if (Ends)
+      Ended.push_back(std::move(Wait));
+    return Ends;
+  });
+  if (DepartureWaits.empty())
+    DepartureTimer.reset();
+  else if (Departure.needsKeepers(otherMembers(), Now))
+    askKeepers();
+  for (const departure_wait &Wait : Ended)
+    Wait.Handler(Lasts);
+}
+
+/// The members are drawn, since some may be unreachable.
+void fleet_agent::askKeepers() {
+  std::vector<const member_record *> Others;
+  for (const auto &[Name, Member] : Directory.members())
+    if (Name != Options.Instance && !Member.Left)
+      Others.push_back(&Member);
+  peer_message Message = message(peer_message_kind::Keep);
+  Message.Members.push_back(Self);
+  for (std::size_t I = 0; I < Timing.AskedKeepers && !Others.empty(); ++I) {
+    const auto Drawn =
+        Others.begin() +
+        static_cast<std::ptrdiff_t>(state::uniformBelow(Random, Others.size()));
+    sendTo((*Drawn)->ControlAddress, Message);
+    Others.erase(Drawn);
+  }
+}
+
+std::size_t fleet_agent::otherMembers() const {
+  const member_record *Known = Directory.find(Options.Instance);
+  return Directory.size() - (Known != nullptr && !Known->Left ? 1 : 0);
+}
+
 void fleet_agent::setPoison(std::vector<std::uint64_t> Fingerprints) {
   if (Self.PoisonFingerprints == Fingerprints)
     return;
@@ -163,7 +218,12 @@
   bool Changed = false;
   for (const member_record &Record : Records) {
     if (Record.Instance == Options.Instance) {
-      if (Record.Incarnation != Self.Incarnation) {
+      if (Record.Incarnation == Self.Incarnation) {
+        // Members know departures from before the start of this daemon.
+        if (FormerDepartures.remember(Record.Upstream) &&
+            Hooks.OnFormerUpstream)
+          Hooks.OnFormerUpstream(Record.Upstream);
+      } else {
         updateFormerUpstream(Record);
         if (Hooks.OnPoison && !Record.PoisonFingerprints.empty())
           Hooks.OnPoison(Record.PoisonFingerprints, true);
@@ -201,168 +261,35 @@
     Hooks.OnDirectoryChanged();
 }
 
-/// Keeps the latest state, since some members may not have received it. Within
-/// one state the record itself may be newer, for example with a request limit.
+/// Keeps the latest record, and each departure: some members may not have
+/// received it.
 void fleet_agent::updateFormerUpstream(const member_record &Former) {
-  const auto Rank = [](const upstream_record &U, std::uint64_t Incarnation,
-                       std::uint64_t Revision) {
-    return std::make_tuple(U.StartUnixMs, U.State, U.Sequence, Incarnation,
-                           Revision);
-  };
   const upstream_record &Upstream = Former.Upstream;
-  if (Upstream.State == upstream_state::None ||
-      (FormerUpstream &&
-       Rank(*FormerUpstream, FormerIncarnation, FormerRevision) >=
-           Rank(Upstream, Former.Incarnation, Former.Revision)))
+  if (Upstream.State == upstream_state::None)
+    return;
+  const bool IsLater =
+      !FormerUpstream || std::tie(Former.Incarnation, Former.Revision) >
+                             std::tie(FormerIncarnation, FormerRevision);
+  const bool IsDeparture = FormerDepartures.remember(Upstream);
+  if (!IsLater && !IsDeparture)
     return;
-  FormerUpstream = Upstream;
-  FormerIncarnation = Former.Incarnation;
-  FormerRevision = Former.Revision;
-  if (Hooks.OnFormerUpstream)
+  if (IsLater) {
+    FormerUpstream = Upstream;
+    FormerIncarnation = Former.Incarnation;
+    FormerRevision = Former.Revision;
+  } else if (Hooks.OnFormerUpstream) {
     Hooks.OnFormerUpstream(Upstream);
+  }
+  FormerUpstream->State = FormerDepartures.latestState(*FormerUpstream);
+  reportFormerUpstream();
 }
 
-/// Writes this daemon's record under a lease. A record of an earlier start is
-/// read before it is replaced, since it may name an upstream that has left.
-void fleet_agent::registerSelf() {
-  NextRegister = Timers.now() + std::chrono::seconds(2);
-  if (Lease != 0)
-    return writeSelf();
-  Platform.grantLease(
-      Timing.MemberLeaseTtl,
-      [this, Alive = Alive](const state::result<std::int64_t> &Granted) {
-        if (!*Alive)
-          return;
-        if (Granted.has_error()) {
-          PlatformRecordStale = true;
-          log("register_failed", "reason=\"" + Granted.error().text() + "\"");
-          return;
-        }
-        Lease = Granted.value();
-        writeSelf();
-      });
-}
-
-void fleet_agent::writeSelf() {
-  PlatformRecordStale = false;
-  const std::string Key = Dialect.membersPrefix() + Options.Instance;
-  platform_txn Txn;
-  if (!FormerRecordRead)
-    Txn.Conditions.push_back({Key, 0});
-  Txn.Puts.push_back({Key, encodeMember(Self), Lease});
-  Platform.commit(
-      std::move(Txn), [this, Alive = Alive,
-                       Key](const state::result<platform_txn_result> &Result) {
-        if (!*Alive)
-          return;
-        if (Result.has_error()) {
-          // The lease may have expired.
-          if (Result.error().is(state::errc::NotFound))
-            Lease = 0;
-          PlatformRecordStale = true;
-          log("register_failed", "reason=\"" + Result.error().text() + "\"");
-          return;
-        }
-        if (!Result.value().Succeeded)
-          return readFormerRecord(Key);
-        onStoreRevision(Result.value().Revision);
-        FormerRecordRead = true;
-        Registered = true;
-        NextRegister = Timers.now() + Timing.MemberRenewalInterval;
-        // This read returns all members that registered earlier; members that
-        // register later read this daemon's record.
-        if (!MembersRead)
-          readMembers(false);
-      });
-}
-
-void fleet_agent::readFormerRecord(const std::string &Key) {
-  Platform.get(Key, false,
-               [this, Alive = Alive](const state::result<platform_read> &Read) {
-                 if (!*Alive || Read.has_error())
-                   return;
-                 FormerRecordRead = true;
-                 for (const platform_entry &Entry : Read.value().Entries)
-                   if (auto Record = decodeMember(Entry.Value);
-                       Record.has_value())
-                     mergeMembers({Record.value()}, "");
-                 writeSelf();
-               });
-}
-
-void fleet_agent::renewRegistration() {
-  NextRegister = Timers.now() + std::chrono::seconds(5);
-  Platform.keepAlive(
-      Lease,
-      [this, Alive = Alive](const state::result<std::chrono::seconds> &Result) {
-        if (!*Alive)
-          return;
-        if (!Result.has_error()) {
-          NextRegister = Timers.now() + Timing.MemberRenewalInterval;
-          return;
-        }
-        if (Result.error().is(state::errc::NotFound)) {
-          Lease = 0;
-          Registered = false;
-          NextRegister = {};
-        }
-      });
-}
-
-void fleet_agent::readMembers(bool AllowStale) {
-  NextMembers = Timers.now() + std::chrono::seconds(2);
-  const auto Handler = [this, Alive = Alive,
-                        AllowStale](const state::result<platform_read> &Read) {
-    if (!*Alive)
-      return;
-    MembersReadAttempted = true;
-    if (Read.has_error())
-      return log("members_read_failed",
-                 "reason=\"" + Read.error().text() + "\"");
-    onMembersRead(Read.value(), AllowStale);
-  };
-  if (AllowStale)
-    Platform.getAllowStale(Dialect.membersPrefix(), true, Handler);
-  else
-    Platform.get(Dialect.membersPrefix(), true, Handler);
-}
-
-void fleet_agent::onMembersRead(const platform_read &Read, bool AllowStale) {
-  onStoreRevision(Read.Revision);
-  std::vector<member_record> Records;
-  for (const platform_entry &Entry : Read.Entries) {
-    auto Record = decodeMember(Entry.Value);
-    if (Record.has_error()) {
-      log("member_ignored",
-          "key=" + Entry.Key + " reason=\"" + Record.error().text() + "\"");
-      continue;
-    }
-    const member_record &Member = Record.value();
-    // A record of an earlier start with the same addresses is still valid for
-    // the other members, so the daemon keeps its lease.
-    if (Member.Instance == Options.Instance && Entry.Lease != 0 &&
-        Member.HopAddress == Options.HopAddress &&
-        Member.ControlAddress == Options.ControlAddress && !Member.Left) {
-      if (!Registered) {
-        Lease = Entry.Lease;
-        Registered = FormerRecordRead = true;
-        NextRegister = Timers.now() + Timing.MemberRenewalInterval / 2;
-      }
-      MembersRead = true;
-    }
-    Records.push_back(std::move(Record.value()));
-  }
-  log("members_read", "count=" + std::to_string(Records.size()) +
-                          " revision=" + std::to_string(Read.Revision) +
-                          " maybe_old=" + std::to_string(AllowStale));
-  mergeMembers(Records, "");
-  MembersRead = MembersRead || !AllowStale;
-  // Other members may have read the members before this daemon registered, and
-  // an earlier announcement may have reached none.
-  if (!AllowStale || Announced)
-    announceSelf();
-  NextSync = {};
-  requestRecords(Timers.now());
+/// A serving upstream is reported once the store has been asked: the members
+/// may have missed, and an old read lacks, that it has left.
+void fleet_agent::reportFormerUpstream() {
+  if (FormerUpstream && Hooks.OnFormerUpstream &&
+      (!FormerReadPending || FormerUpstream->State != upstream_state::Serving))
+    Hooks.OnFormerUpstream(*FormerUpstream);
 }
 
 //-----------------------------------------------------------------------------
@@ -484,6 +411,18 @@
     if (Hooks.OnCrash)
       Hooks.OnCrash(Message.Sightings);
     return;
+  case peer_message_kind::Keep: {
+    mergeMembers(Message.Members, Message.From);
+    peer_message Answer = message(peer_message_kind::Kept);
+    Answer.Incarnation = Message.Members.front().Incarnation;
+    Answer.Revision = Message.Members.front().Revision;
+    return sendTo(Message.ControlAddress, Answer);
+  }
+  case peer_message_kind::Kept:
+    if (Message.Incarnation != Self.Incarnation)
+      return;
+    Departure.onKept(Message.From, Message.Revision);
+    return checkDeparture(Now);
   }
 }
 
@@ -595,7 +534,7 @@
     stopFollowing();
   if (!Document && !ReadingInput && Now >= NextFollow)
     readInput(true);
-  if ((!Registered || PlatformRecordStale) && Now >= NextRegister)
+  if ((!Registered || PlatformRecordStale) && !Writing && Now >= NextRegister)
     registerSelf();
   else if (Registered && Now >= NextRegister)
     renewRegistration();
--- a/hyssopledge/coordination/fleet_agent.h
+++ b/hyssopledge/coordination/fleet_agent.h
@@ -18,6 +18,7 @@
 
 #include "hyssopledge/coordination/fast_rollout_policy.h"
 #include "hyssopledge/coordination/fleet_directory.h"
+#include "hyssopledge/coordination/lasting_change.h"
 #include "hyssopledge/coordination/operator_dialect.h"
 #include "hyssopledge/coordination/peer_message.h"
 #include "hyssopledge/coordination/platform_store.h"
@@ -125,6 +126,11 @@
   /// The delay doubles with each failure in a row up to this, except for the
   /// lowest relay, which must notice the end of an outage soon.
   std::chrono::milliseconds MaxPlatformRetryDelay{3200};
+  /// A wait for a departure ends after this time: an upstream takes an
+  /// acknowledgement for lost that comes after a second.
+  std::chrono::milliseconds DepartureTimeout{900};
+  std::chrono::milliseconds KeepInterval{50}; // of requests to keep the record
+  std::size_t AskedKeepers = 8;               // members asked at once
   std::chrono::seconds MemberLeaseTtl{600};
   std::chrono::seconds MemberRenewalInterval{200};
   /// After a restore of the platform's store the members write their records
@@ -160,6 +166,10 @@
 
   /// Sets the state of the upstream and announces it immediately.
   void setUpstream(const upstream_record &Upstream);
+  /// Calls the handler when the latest departure of the upstream outlives this
+  /// process, with true, or with false if it does not within DepartureTimeout.
+  /// Calls it at once when there was none.
+  void whenDepartureLasts(std::function<void(bool)> Handler);
   /// Sets the fingerprints of the requests that crashed the upstream and
   /// others, and announces them. They stay known while the daemons restart.
   void setPoison(std::vector<std::uint64_t> Fingerprints);
@@ -188,6 +198,10 @@
     std::uint64_t NewCountsStep = 0;
     route_counts NewCountsAtStep; // of the new version when the step began
   };
+  struct departure_wait {
+    std::function<void(bool)> Handler;
+    state::time_point Deadline;
+  };
   /// Runs that one daemon has counted for an order.
   struct upstream_evidence {
     std::string Version;
@@ -207,16 +221,27 @@
   void mergeMembers(const std::vector<member_record> &Records,
                     const std::string &Sender);
   void updateFormerUpstream(const member_record &Former);
+  void reportFormerUpstream();
+  std::size_t otherMembers() const;
+  void requestRecords(state::time_point Now);
+  void onRecordsPart(const peer_message &Message);
+  void finishSync(const char *Reason);
+  peer_message message(peer_message_kind Kind) const;
+
+  //--- Records on the platform ------------------------------------------------
+  std::string ownKey() const;
   void registerSelf();
   void writeSelf();
-  void readFormerRecord(const std::string &Key);
+  void onWriteFailed(const std::string &Reason);
+  void readFormerRecord(std::function<void(bool)> Done);
+  void onFormerRead();
   void renewRegistration();
   void readMembers(bool AllowStale);
   void onMembersRead(const platform_read &Read, bool AllowStale);
-  void requestRecords(state::time_point Now);
-  void onRecordsPart(const peer_message &Message);
-  void finishSync(const char *Reason);
-  peer_message message(peer_message_kind Kind) const;
+
+  //--- Departure of the upstream ----------------------------------------------
+  void checkDeparture(state::time_point Now);
+  void askKeepers();
 
   //--- Relays -----------------------------------------------------------------
   void tick(state::time_point Now);
@@ -280,6 +305,9 @@
   std::optional<upstream_record> FormerUpstream;
   std::uint64_t FormerIncarnation = 0; // of the record with FormerUpstream
   std::uint64_t FormerRevision = 0;
+  departed_upstreams FormerDepartures; // known to others
+  lasting_change Departure;
+  std::vector<departure_wait> DepartureWaits;
   fleet_directory Directory;
   std::map<std::string, beacon> Beacons; // by instance
   std::shared_ptr<const state::route_table> Document;
@@ -290,7 +318,11 @@
   bool PlatformReached = false;
   bool Registered = false;
   bool PlatformRecordStale = false; // own record must be written again
-  bool FormerRecordRead = false; // record of an earlier start, on the platform
+  bool Writing = false;             // own record
+  // The current record of an earlier start on the platform is known, so that it
+  // may be replaced.
+  bool FormerRecordRead = false;
+  bool FormerReadPending = true; // it is being read, or the members are
   bool MembersRead = false;      // a read that includes this daemon
   bool Synced = false; // all records of a member received, or timed out
   bool MembersReadAttempted = false;
@@ -333,6 +365,7 @@
 
   std::shared_ptr<bool> Alive; // false for handlers that outlive the agent
   std::unique_ptr<state::timer_subscription> TickTimer;
+  std::unique_ptr<state::timer_subscription> DepartureTimer;
 };
 
 } // namespace hyssopledge::coordination
--- a/hyssopledge/coordination/fleet_directory.cpp
+++ b/hyssopledge/coordination/fleet_directory.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/crc.hpp>
 #include <tuple>
+#include <utility>
 
 namespace hyssopledge::coordination {
 
@@ -22,7 +23,8 @@
 }
 
 std::uint64_t hashOf(const member_record &Record) {
-  return hashOf(Record.Instance, Record.Incarnation, Record.Revision, 0);
+  return hashOf(Record.Instance, Record.Incarnation, Record.Revision,
+                static_cast<std::uint64_t>(Record.Upstream.State));
 }
 
 std::uint64_t hashOf(const rollout_record &Record) {
@@ -38,16 +40,22 @@
 } // namespace
 
 bool fleet_directory::merge(const member_record &Record) {
+  if (Record.Upstream.State > upstream_state::Serving)
+    Departed[Record.Instance].remember(Record.Upstream);
   const auto Found = Members.find(Record.Instance);
-  if (Found != Members.end()) {
-    const member_record &Known = Found->second;
-    if (std::tie(Record.Incarnation, Record.Revision) <=
-        std::tie(Known.Incarnation, Known.Revision))
-      return false;
-    Digest -= hashOf(Known);
-  }
-  Digest += hashOf(Record);
-  Members.insert_or_assign(Record.Instance, Record);
+  const bool IsNewer =
+      Found == Members.end() ||
+      std::tie(Record.Incarnation, Record.Revision) >
+          std::tie(Found->second.Incarnation, Found->second.Revision);
+  member_record Merged = IsNewer ? Record : Found->second;
+  if (const auto Left = Departed.find(Record.Instance); Left != Departed.end())
+    Merged.Upstream.State = Left->second.latestState(Merged.Upstream);
+  if (!IsNewer && Merged.Upstream.State == Found->second.Upstream.State)
+    return false;
+  if (Found != Members.end())
+    Digest -= hashOf(Found->second);
+  Digest += hashOf(Merged);
+  Members.insert_or_assign(Record.Instance, std::move(Merged));
   return true;
 }
 
--- a/hyssopledge/coordination/fleet_directory.h
+++ b/hyssopledge/coordination/fleet_directory.h
@@ -4,33 +4,17 @@
 /// arrive late, repeatedly and in any order. Does no I/O; not thread-safe.
 #pragma once
 
+#include "hyssopledge/coordination/departed_upstreams.h"
+#include "hyssopledge/coordination/upstream_record.h"
 #include "hyssopledge/state/clock.h"
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace hyssopledge::coordination {
 
-enum class upstream_state { None, Serving, Draining, Gone };
-
-/// State of the upstream beside a daemon, as that daemon last received it.
-struct upstream_record {
-  std::string Name; // of this incarnation of the upstream
-  std::string Service;
-  std::string Version;
-  std::uint32_t Slots = 0;
-  upstream_state State = upstream_state::None;
-  bool AcceptsConnections = true;
-  bool Cold = false; // still slow after its start
-  std::uint64_t StartUnixMs = 0;
-  std::uint64_t Sequence = 0; // of the latest announcement
-  /// Requests per second that it accepts; none: no limit.
-  std::optional<double> RequestLimit;
-};
-
 struct member_record {
   std::string Instance;
   /// Increases with each start of the daemon.
@@ -69,7 +53,9 @@
 
 class fleet_directory {
 public:
-  /// Returns whether the record replaced an older one or is new.
+  /// Return whether the directory has changed. An upstream that has left stays
+  /// so whatever later records of its daemon say, which may have restarted with
+  /// an older state.
   bool merge(const member_record &Record);
   bool merge(const rollout_record &Record);
   bool merge(const evacuation_record &Record);
@@ -96,6 +82,7 @@
 
 private:
   std::map<std::string, member_record> Members;
+  std::map<std::string, departed_upstreams> Departed;   // by instance
   std::map<std::string, rollout_record> Rollouts;       // by service
   std::map<std::string, evacuation_record> Evacuations; // by data centre
   std::uint64_t Digest = 0;
--- a/hyssopledge/coordination/peer_message.cpp
+++ b/hyssopledge/coordination/peer_message.cpp
@@ -225,6 +225,14 @@
     }
     break;
   }
+  case peer_message_kind::Keep:
+    for (const member_record &Record : M.Members)
+      J.push_back(toJson(Record));
+    break;
+  case peer_message_kind::Kept:
+    J.push_back(M.Incarnation);
+    J.push_back(M.Revision);
+    break;
   case peer_message_kind::Sync:
   case peer_message_kind::Ping:
   case peer_message_kind::Pong:
@@ -241,7 +249,7 @@
     peer_message M;
     const int Kind = J.at(0).get<int>();
     if (Kind < static_cast<int>(peer_message_kind::Beacon) ||
-        Kind > static_cast<int>(peer_message_kind::QuotaGrant))
+        Kind > static_cast<int>(peer_message_kind::Kept))
       return malformed("unknown kind " + std::to_string(Kind));
     M.Kind = static_cast<peer_message_kind>(Kind);
     M.From = J.at(1).get<std::string>();
@@ -307,6 +315,13 @@
           M.Returns.push_back(
               {Row.at(0).get<std::string>(), Row.at(1).get<std::uint32_t>()});
       break;
+    case peer_message_kind::Keep:
+      M.Members.push_back(memberFrom(J.at(3)));
+      break;
+    case peer_message_kind::Kept:
+      M.Incarnation = J.at(3).get<std::uint64_t>();
+      M.Revision = J.at(4).get<std::uint64_t>();
+      break;
     case peer_message_kind::Sync:
     case peer_message_kind::Ping:
     case peer_message_kind::Pong:
--- a/hyssopledge/coordination/peer_message.h
+++ b/hyssopledge/coordination/peer_message.h
@@ -25,6 +25,8 @@
   Crash,      // requests that were running when an upstream crashed
   QuotaAsk,   // asks the owner of a quota slot for tokens, lends or releases
   QuotaGrant, // response to QuotaAsk
+  Keep,       // asks to keep the sender's record and to answer with Kept
+  Kept,       // the receiver's record is kept
 };
 
 /// Asks for requests of one workspace.
@@ -48,8 +50,10 @@
   std::uint64_t DocumentVersion = 0;
   std::uint64_t Digest = 0;   // of the sender's directory
   std::uint64_t StoreEra = 0; // latest one that the sender knows
+  //--- Kept -------------------------------------------------------------------
+  std::uint64_t Revision = 0; // of the record; see also Incarnation
   //--- Records ----------------------------------------------------------------
-  std::vector<member_record> Members;
+  std::vector<member_record> Members; // with Keep the sender's own
   std::vector<rollout_record> Rollouts;
   std::vector<evacuation_record> Evacuations;
   std::uint32_t Part = 0;  // index of this datagram
@@ -58,7 +62,7 @@
   std::string Service;
   std::string Version;
   std::uint64_t OrderRevision = 0;
-  std::uint64_t Incarnation = 0; // of the sender
+  std::uint64_t Incarnation = 0; // of the sender; with Kept of the record
   /// Since the order became known to this incarnation of the sender; of some or
   /// all routes.
   route_counts Counts;
--- a/hyssopledge/coordination/upstream_registry.h
+++ b/hyssopledge/coordination/upstream_registry.h
@@ -1,10 +1,13 @@
 /// \file
 /// State of the upstream beside this daemon, from its announcements. An
 /// announcement may be late, repeated, from an earlier upstream at the address
-/// or from another service. Does no I/O; not thread-safe.
+/// or from another service. An upstream that starts again under its name may
+/// state an earlier start than before, if its clock went back. Does no I/O; not
+/// thread-safe.
 #pragma once
 
-#include "hyssopledge/coordination/fleet_directory.h"
+#include "hyssopledge/coordination/departed_upstreams.h"
+#include "hyssopledge/coordination/upstream_record.h"
 #include "hyssopledge/state/clock.h"
 #include "hyssopledge/state/result.h"
 
@@ -39,7 +42,8 @@
       : Service(std::move(Service)), Address(std::move(Address)) {}
 
   /// Applies the state of the upstream that other members know from before this
-  /// daemon started. A serving upstream stays in use until it announces
+  /// daemon started, and replaces one that was applied before. A serving
+  /// upstream stays in use until it announces
   /// something else; this is safe since calls carry its name and another
   /// upstream at the address refuses them. An acknowledged drain is kept.
   registry_update restore(const upstream_record &Former);
@@ -53,25 +57,39 @@
   /// The current upstream leaves, which it said otherwise than by an
   /// announcement. Final, like an announced drain.
   registry_update drain();
+  /// Whether the upstream is known to be draining or gone.
+  bool hasLeft(const std::string &Name, std::uint64_t StartUnixMs) const {
+    return Departed.contains(Name, StartUnixMs);
+  }
   /// State after the last call. AcceptsConnections is not maintained here, and
   /// RequestLimit is the one of restore().
   const upstream_record &record() const { return Record; }
 
 private:
-  static constexpr std::size_t MaxDeparted = 16; // remembered departures
+  static constexpr std::size_t MaxReplaced = 16; // remembered upstreams
+  // A delayed announcement of an upstream that has crashed may be newer than
+  // those before it, but only one that runs goes on announcing itself.
+  static constexpr unsigned AnnouncementsToReturn = 3;
 
-  bool hasLeft(const std::string &Name, std::uint64_t StartUnixMs) const;
-
-  struct departed_upstream {
+  /// An upstream that was on record before the present one.
+  struct replaced_upstream {
     std::string Name;
     std::uint64_t StartUnixMs;
-    upstream_state State;
+    std::uint64_t Sequence;
+    unsigned Announcements; // since it was replaced
   };
+  std::deque<replaced_upstream>::iterator
+  findReplaced(const std::string &Name, std::uint64_t StartUnixMs);
+  /// Whether the announcement is a late one of an upstream that was replaced.
+  bool isLate(const announcement &Announcement);
+  void replaceRecord();
 
   std::string Service;
   std::string Address;
   upstream_record Record;
-  std::deque<departed_upstream> Departed;
+  bool IsRestored = false; // the record is not from an announcement
+  departed_upstreams Departed;
+  std::deque<replaced_upstream> Replaced;
 };
 
 } // namespace hyssopledge::coordination
--- a/tests/fleet_agent_test.cpp
+++ b/tests/fleet_agent_test.cpp
@@ -7,11 +7,13 @@
 #include "support/fake_platform.h"
 #include "support/manual_timer_service.h"
 
+#include <algorithm>
 #include <deque>
 #include <doctest/doctest.h>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -84,8 +86,10 @@
     };
     Hooks.OnFormerUpstream = [&Added](const upstream_record &Former) {
       // Does the same as upstream_registry.
-      if (Former.State == upstream_state::Serving &&
-          Added.Agent->self().Upstream.State == upstream_state::None)
+      const upstream_record &Own = Added.Agent->self().Upstream;
+      if ((Former.State == upstream_state::Serving &&
+           Own.State == upstream_state::None) ||
+          (Former.State > Own.State && Former.Name == Own.Name))
         Added.Agent->setUpstream(Former);
     };
     Added.Agent = std::make_unique<coordination::fleet_agent>(
@@ -511,6 +515,101 @@
   CHECK(Again.Agent->formerUpstream()->State == upstream_state::Draining);
 }
 
+// The restarted daemon announced what an old record says, and the others took
+// it for the present state.
+TEST_CASE("an upstream that has left is not used after a restart") {
+  struct restart_case {
+    const char *Name;
+    bool PlatformDown;     // when the upstream leaves
+    bool OldRecord;        // the platform returns the record from before that
+    double LossRate;       // while the others are told
+    std::size_t Restarted; // of the daemons, from the one beside the upstream
+  };
+  const restart_case Cases[] = {
+      {"the platform has the change", false, false, 0, 1},
+      {"the platform is down", true, false, 0, 1},
+      {"the platform returns an old record", false, true, 0, 1},
+      {"datagrams are lost", true, false, 0.6, 1},
+      {"some daemons restart together", true, false, 0, 3},
+  };
+  const std::vector<std::string> Order = {"b-3", "a-1", "b-1"};
+  for (const restart_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    auto Fleet = sixDaemons();
+    Fleet->serve("b-3", "v1");
+    Fleet->run(milliseconds(3000));
+    const std::string Key = "hyssop/members/b-3";
+    const auto Old = Fleet->Platform.entries().at(Key);
+    Fleet->Platform.Down = Case.PlatformDown;
+    Fleet->LossRate = Case.LossRate;
+    upstream_record Gone = Fleet->Nodes.at("b-3")->Agent->self().Upstream;
+    Gone.State = upstream_state::Gone;
+    Fleet->Nodes.at("b-3")->Agent->setUpstream(Gone);
+    Fleet->run(milliseconds(500));
+    for (std::size_t I = 0; I < Case.Restarted; ++I)
+      Fleet->remove(Order[I]);
+    Fleet->Platform.Down = false;
+    Fleet->LossRate = 0;
+    if (Case.OldRecord) {
+      coordination::platform_txn Txn;
+      Txn.Puts.push_back({Key, Old.Value, Old.Lease});
+      Fleet->Platform.commit(Txn, [](auto) {});
+      Fleet->Platform.run();
+    }
+    for (std::size_t I = 0; I < Case.Restarted; ++I)
+      Fleet->add(Order[I], 9);
+    for (int Step = 0; Step < 30; ++Step) {
+      Fleet->run(milliseconds(100));
+      for (const std::string &Name : Six) {
+        CAPTURE(Name);
+        // A restarted daemon needs this time to learn it.
+        if (Step < 10 &&
+            std::find(Order.begin(), Order.end(), Name) != Order.end())
+          continue;
+        const auto *Known =
+            Fleet->Nodes.at(Name)->Agent->directory().find("b-3");
+        REQUIRE(Known != nullptr);
+        CHECK(Known->Upstream.State != upstream_state::Serving);
+      }
+    }
+  }
+}
+
+TEST_CASE("a departure lasts when the platform or other daemons keep it") {
+  struct departure_case {
+    const char *Name;
+    bool PlatformDown;
+    double LossRate;
+    milliseconds Time; // at most
+    bool Lasts;
+  };
+  const departure_case Cases[] = {
+      {"the platform has it", false, 0, milliseconds(40), true},
+      {"others keep it", true, 0, milliseconds(80), true},
+      {"others keep it, datagrams are lost", true, 0.5, milliseconds(800),
+       true},
+      {"nobody keeps it", true, 1, milliseconds(1000), false},
+  };
+  for (const departure_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    auto Fleet = sixDaemons();
+    Fleet->serve("b-3", "v1");
+    Fleet->run(milliseconds(1000));
+    Fleet->Platform.Down = Case.PlatformDown;
+    Fleet->LossRate = Case.LossRate;
+    auto &Agent = *Fleet->Nodes.at("b-3")->Agent;
+    upstream_record Gone = Agent.self().Upstream;
+    Gone.State = upstream_state::Gone;
+    Agent.setUpstream(Gone);
+    std::optional<bool> Lasts;
+    Agent.whenDepartureLasts([&](bool Value) { Lasts = Value; });
+    CHECK_FALSE(Lasts.has_value());
+    Fleet->run(Case.Time);
+    REQUIRE(Lasts.has_value());
+    CHECK(*Lasts == Case.Lasts);
+  }
+}
+
 TEST_CASE("a change that the platform missed is written after its outage") {
   auto Fleet = sixDaemons();
   Fleet->serve("b-3", "v1");
--- a/tests/fleet_records_test.cpp
+++ b/tests/fleet_records_test.cpp
@@ -106,6 +106,49 @@
   }
 }
 
+// A restarted daemon sends a record of its upstream from before it left.
+TEST_CASE("an upstream that has left stays so in a directory") {
+  struct merge_case {
+    const char *Name;
+    std::uint64_t StartUnixMs; // in the later record
+    const char *Upstream;
+    upstream_state State;
+  };
+  const merge_case Cases[] = {
+      {"the same upstream", 10, "i-1", upstream_state::Gone},
+      {"an earlier start", 5, "i-1", upstream_state::Gone},
+      {"a later start", 20, "i-1", upstream_state::Serving},
+      {"another upstream", 20, "i-2", upstream_state::Serving},
+  };
+  for (const merge_case &Case : Cases)
+    for (const bool Swapped : {false, true}) {
+      CAPTURE(std::string(Case.Name));
+      CAPTURE(Swapped);
+      member_record Left;
+      Left.Instance = "a-1";
+      Left.Incarnation = 1;
+      Left.Revision = 7;
+      Left.Upstream.Name = "i-1";
+      Left.Upstream.StartUnixMs = 10;
+      Left.Upstream.State = upstream_state::Gone;
+      member_record Restarted = Left;
+      Restarted.Incarnation = 2;
+      Restarted.Revision = 1;
+      Restarted.Upstream.Name = Case.Upstream;
+      Restarted.Upstream.StartUnixMs = Case.StartUnixMs;
+      Restarted.Upstream.State = upstream_state::Serving;
+      fleet_directory Directory;
+      CHECK(Directory.merge(Swapped ? Restarted : Left));
+      Directory.merge(Swapped ? Left : Restarted);
+      CHECK(Directory.find("a-1")->Upstream.State == Case.State);
+      CHECK(Directory.find("a-1")->Incarnation == 2);
+      const std::uint64_t Digest = Directory.digest();
+      CHECK_FALSE(Directory.merge(Left));
+      CHECK_FALSE(Directory.merge(Restarted));
+      CHECK(Directory.digest() == Digest);
+    }
+}
+
 TEST_CASE("the traffic split follows the rollout") {
   struct split_case {
     rollout_state State;
@@ -172,6 +215,27 @@
         {announce("i-1", 30, 1), false, registry_update::Changed}},
        "i-1",
        Serving},
+      {"started again with an earlier start time, then a drain",
+       {{announce("i-1", 30, 4), false, registry_update::Changed},
+        {announce("i-1", 10, 1), false, registry_update::Changed},
+        {announce("i-1", 30, 5), false, registry_update::Outdated},
+        {announce("i-1", 10, 2, Draining), false, registry_update::Changed},
+        {announce("i-1", 10, 3), false, registry_update::Outdated}},
+       "i-1",
+       Draining},
+      {"started again with an earlier start time, then a leave",
+       {{announce("i-1", 30, 4), false, registry_update::Changed},
+        {announce("i-1", 10, 0), true, registry_update::Changed}},
+       "i-1",
+       Gone},
+      {"a late heartbeat was taken for a start",
+       {{announce("i-1", 30, 1), false, registry_update::Changed},
+        {announce("i-1", 10, 9), false, registry_update::Changed},
+        {announce("i-1", 30, 2), false, registry_update::Outdated},
+        {announce("i-1", 30, 3), false, registry_update::Outdated},
+        {announce("i-1", 30, 4), false, registry_update::Changed}},
+       "i-1",
+       Serving},
       {"leave of another upstream",
        {{announce("i-2", 20, 1), false, registry_update::Changed},
         {announce("i-1", 0, 0), true, registry_update::None}},
--- a/tests/support/mesh_process.h
+++ b/tests/support/mesh_process.h
@@ -67,6 +67,21 @@
     return false;
   }
 
+  /// Sends a call of the upstream about itself. Returns the status.
+  unsigned announce(const std::string &State) {
+    return status(announcement(State), Ip + ":8306");
+  }
+  unsigned deregister() {
+    return status(makeRequest(http::verb::post,
+                              "/api/rpc?call=instances.deregister&of=i-1",
+                              R"({"sequence":1000})"),
+                  Ip + ":8306");
+  }
+  /// Leaves the daemon's calls to the store without an answer from now on.
+  void withholdStore() {
+    boost::asio::post(Context, [this] { Store.withholdFrom({"daemon"}); });
+  }
+
   /// Status of the response; 0 when there is none.
   static unsigned status(const http_request &Request,
                          const std::string &Address) {
@@ -146,13 +161,13 @@
            std::to_string(1 + (Pid % 64) * 3 + ++Count % 3);
   }
 
-  http_request announcement() {
+  http_request announcement(const std::string &State = "ready") {
     const nlohmann::json Body = {{"service", "pages"},
                                  {"address", Upstream.address()},
                                  {"zone", "dc1"},
                                  {"version", "v1"},
                                  {"slots", 4},
-                                 {"state", "ready"},
+                                 {"state", State},
                                  {"sequence", ++Announcements}};
     return makeRequest(http::verb::post,
                        "/api/rpc?call=instances.heartbeat&of=i-1", Body.dump());
