Requests that wait for a quota are answered when quotas end (CONFIG)

Cause: quota_agent dropped its timer with the last limit, and only the timer ends such a wait. A call had no end of its own while it waited for its quota.

Change: waiting requests of workspaces without a limit are granted when the limits change. mesh_plane ends each call 250 ms after its deadline, whatever it waits for, and logs it as call_overdue.

--- a/hyssopledge/coordination/quota_agent.cpp
+++ b/hyssopledge/coordination/quota_agent.cpp
@@ -59,13 +59,38 @@
       Limits[Workspace.Name] = Workspace.Quota;
   if (!enabled()) {
     TickTimer.reset();
-    return;
+  } else if (!TickTimer) {
+    LastTick = Timers.now();
+    TickTimer =
+        Timers.every(TickInterval, [this](time_point Now) { tick(Now); });
+    tick(LastTick);
   }
-  if (TickTimer)
-    return;
-  LastTick = Timers.now();
-  TickTimer = Timers.every(TickInterval, [this](time_point Now) { tick(Now); });
-  tick(LastTick);
+  grantUnlimited();
+}
+
+/// Grants the waiting requests of workspaces without a limit. Without the timer
+/// nothing else would end their wait.
+void quota_agent::grantUnlimited() {
+  std::vector<waiting_request> Granted;
+  const auto Take = [&](auto &Requests) {
+    for (waiting_request &Request : Requests)
+      if (!Limits.contains(Request.Workspace))
+        Granted.push_back(std::move(Request));
+    std::erase_if(Requests, [](const waiting_request &Request) {
+      return Request.Handler == nullptr;
+    });
+  };
+  for (slot &Slot : Slots) {
+    Take(Slot.Waiting);
+    for (auto &[Sequence, Ask] : Slot.Sent)
+      for (auto &Requests : Ask.ByWorkspace)
+        Take(Requests);
+    std::erase_if(Slot.Returned, [&](const auto &Entry) {
+      return !Limits.contains(Entry.first);
+    });
+  }
+  for (const waiting_request &Request : Granted)
+    Request.Handler(quota_result::Granted, milliseconds(0));
 }
 
 /// Prefers members with fast links, which are the larger machines, and spreads
@@ -218,6 +243,8 @@
 }
 
 void quota_agent::acquire(const std::string &Workspace, handler Handler) {
+  if (!Limits.contains(Workspace))
+    return Handler(quota_result::Granted, milliseconds(0));
   const time_point Now = Timers.now();
   const std::uint32_t Index = slotOf(Workspace);
   slot &Slot = Slots[Index];
@@ -300,6 +327,8 @@
 
 /// Tokens are returned with the next message to the owner.
 void quota_agent::giveBack(const std::string &Workspace) {
+  if (!Limits.contains(Workspace))
+    return;
   slot &Slot = Slots[slotOf(Workspace)];
   if (Slot.Owner == Options.Instance)
     Slot.Pool.giveBack(Workspace, 1);
--- a/hyssopledge/coordination/quota_agent.h
+++ b/hyssopledge/coordination/quota_agent.h
@@ -137,6 +137,7 @@
   void takeOwn(slot &Slot, state::time_point Now);
   void send(std::uint32_t Index, peer_message Message, state::time_point Now);
   void release(std::uint32_t Index);
+  void grantUnlimited();
   void expireWaiting(slot &Slot, state::time_point Now);
   void onAsk(const peer_message &Message, state::time_point Now);
   void onGrant(const peer_message &Message, state::time_point Now);
--- a/hyssopledge/transport/mesh_call.cpp
+++ b/hyssopledge/transport/mesh_call.cpp
@@ -18,6 +18,9 @@
 constexpr unsigned MaxHops = 4;
 // With less time left than this a call is not retried.
 constexpr milliseconds MinTimeForRetry{10};
+// Each wait of a call ends soon after its deadline. One that does not is ended
+// after this time, before the half second in which the users expect an answer.
+constexpr milliseconds OverdueTime{250};
 // Timeout of a caller that sends no deadline.
 constexpr milliseconds DefaultTimeout{10'000};
 // Priorities of routes that are told apart within one priority of workspaces.
@@ -148,6 +151,17 @@
   return {Caller, &Caller->request().body()};
 }
 
+/// Ends a call whose wait has not ended at its deadline, whatever it waits for.
+void mesh_plane::entry_call::endOverdue(state::time_point Now) {
+  if (Done || Now - Deadline < OverdueTime)
+    return;
+  logEvent(log_level::Warn, "call_overdue",
+           {{"id", Id}, {"sends", Sends}, {"hops", Hops}});
+  if (Hops == 0)
+    return refuse("deadline", MinRetryAfter);
+  respondError(504, OutcomeUnknown, "timeout");
+}
+
 void mesh_plane::entry_call::abort() {
   if (Current)
     Current->cancel();
--- a/hyssopledge/transport/mesh_call.h
+++ b/hyssopledge/transport/mesh_call.h
@@ -65,6 +65,7 @@
   /// Starts a second attempt if the first one is slower than usual.
   void considerHedge(state::time_point Now);
   /// Responds with an unknown outcome because this daemon shuts down.
+  void endOverdue(state::time_point Now);
   void abort();
 
   /// The request without its body and without fields of the caller's
--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -323,6 +323,8 @@
   }
   for (const auto &Attempt : Affected)
     Attempt->onPeerUnreachable();
+  for (const auto &Call : pendingCalls())
+    Call->endOverdue(Now);
   PeerTimer.expires_after(PeerCheckInterval);
   PeerTimer.async_wait([this](const error_code &Error) {
     if (!Error)
@@ -333,11 +335,7 @@
 /// Gives slow idempotent calls a second attempt.
 void mesh_plane::checkHedges() {
   const state::time_point Now = boot_clock::now();
-  std::vector<std::shared_ptr<entry_call>> Pending;
-  Pending.reserve(Calls.size());
-  for (const auto &[Key, Call] : Calls)
-    Pending.push_back(Call);
-  for (const auto &Call : Pending)
+  for (const auto &Call : pendingCalls())
     Call->considerHedge(Now);
   HedgeTimer.expires_after(HedgeCheckInterval);
   HedgeTimer.async_wait([this](const error_code &Error) {
@@ -346,6 +344,16 @@
   });
 }
 
+/// A copy, since a call is removed when it ends.
+std::vector<std::shared_ptr<mesh_plane::entry_call>>
+mesh_plane::pendingCalls() const {
+  std::vector<std::shared_ptr<entry_call>> Pending;
+  Pending.reserve(Calls.size());
+  for (const auto &[Key, Call] : Calls)
+    Pending.push_back(Call);
+  return Pending;
+}
+
 void mesh_plane::closeAfterResponses() { EntryListener->closeAfterResponses(); }
 
 void mesh_plane::refuseNewCalls() { RefusesNewCalls = true; }
@@ -355,10 +363,7 @@
 }
 
 void mesh_plane::abortPendingCalls() {
-  std::vector<std::shared_ptr<entry_call>> PendingCalls;
-  for (const auto &[Key, Call] : Calls)
-    PendingCalls.push_back(Call);
-  for (const auto &Call : PendingCalls)
+  for (const auto &Call : pendingCalls())
     Call->abort();
 }
 
--- a/hyssopledge/transport/mesh_plane.h
+++ b/hyssopledge/transport/mesh_plane.h
@@ -150,6 +150,7 @@
   void onHopRequest(const std::shared_ptr<server_exchange> &Caller);
   void checkPeers();
   void checkHedges();
+  std::vector<std::shared_ptr<entry_call>> pendingCalls() const;
   void updateColdLimits();
   listener_options entryOptions(const state::caller_limits &Limits) const;
   listener_options hopOptions(const state::caller_limits &Limits) const;
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -371,6 +371,55 @@
         0.95 * (Fleet.Sent["t"] - SentBefore));
 }
 
+// The wait had no end when the last quota ended while its owner was silent.
+TEST_CASE("requests that wait for a quota are answered when quotas change") {
+  struct change_case {
+    const char *Name;
+    std::vector<state::workspace_spec> After;
+    bool OwnerBack; // with the change
+  };
+  const change_case Cases[] = {
+      {"all quotas end", {}, false},
+      {"its quota ends", {workspace("t", 0, 0), workspace("u", 5, 5)}, false},
+      {"it is removed", {workspace("u", 5, 5)}, false},
+      {"its quota changes", {workspace("t", 10, 10)}, false},
+      {"nothing changes", {workspace("t", 100, 100)}, false},
+      {"all quotas end, the owner answers late", {}, true},
+  };
+  for (const change_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    quota_fleet Fleet(24);
+    Fleet.setWorkspaces({workspace("t", 100, 100)});
+    Fleet.run(milliseconds(2000));
+    for (unsigned I = 0; I < 3; ++I) // one of them is the owner
+      Fleet.Frozen.insert(quota_fleet::name(I));
+    constexpr int Requests = 16;
+    std::map<int, unsigned> Answers; // by request
+    unsigned Granted = 0;
+    auto &Agent = *Fleet.Nodes.at(quota_fleet::name(20))->Agent;
+    for (int I = 0; I < Requests; ++I)
+      Agent.acquire("t", [&, I](quota_result Result, milliseconds) {
+        ++Answers[I];
+        Granted += Result == quota_result::Granted ? 1 : 0;
+      });
+    Fleet.run(milliseconds(120));
+    CHECK(Answers.empty());
+    Fleet.setWorkspaces(Case.After);
+    if (Case.OwnerBack)
+      Fleet.Frozen.clear();
+    Fleet.run(milliseconds(2000));
+    CHECK(Answers.size() == Requests);
+    for (const auto &[Request, Count] : Answers)
+      CHECK(Count == 1);
+    const bool HasLimit =
+        std::any_of(Case.After.begin(), Case.After.end(), [](const auto &W) {
+          return W.Name == "t" && W.Quota.RequestsPerSecond > 0;
+        });
+    if (!HasLimit)
+      CHECK(Granted == Requests);
+  }
+}
+
 // The users' goal for all control traffic of a daemon is 17 KB/s.
 TEST_CASE("quotas cost little traffic at any size of the fleet") {
   struct size_case {
