Changed weights of a route hold at once (CONFIG)

Cause: weighted_round_robin kept credits that were earned with the former weights, in their scale, and chose parts without weight like the others.

Change: credits are converted to the scale of the new weights; a part without weight loses its credit and is never chosen. What is measured by the name of a route is dropped when the route ends or gets other requests: run times of the former ones could have every request refused.

--- a/hyssopledge/state/hedge_policy.h
+++ b/hyssopledge/state/hedge_policy.h
@@ -37,6 +37,8 @@
   /// Time after which a second attempt is due; none: not known yet.
   std::optional<milliseconds> delay(const std::string &Route) const;
   bool tryAcquire();
+  /// Drops the latencies of the route.
+  void forget(const std::string &Route) { Routes.erase(Route); }
 
 private:
   struct route_latency {
--- a/hyssopledge/state/placement.cpp
+++ b/hyssopledge/state/placement.cpp
@@ -218,6 +218,12 @@
   Measured.SentSinceReport = 0;
 }
 
+void placement::forgetRoute(const std::string &Route) {
+  RouteLatencyMs.erase(Route);
+  for (auto &[Instance, Measured] : Targets)
+    Measured.LatencyMs.erase(Route);
+}
+
 void placement::retain(const std::vector<std::string> &Instances) {
   std::erase_if(Targets, [&](const auto &Entry) {
     return std::find(Instances.begin(), Instances.end(), Entry.first) ==
--- a/hyssopledge/state/placement.h
+++ b/hyssopledge/state/placement.h
@@ -108,6 +108,8 @@
               time_point Now);
   /// Drops the measurements of all targets that are not in the list.
   void retain(const std::vector<std::string> &Instances);
+  /// Drops the latencies of the route at all targets.
+  void forgetRoute(const std::string &Route);
 
   /// Shortest expected wait for a slot among the candidates, for Retry-After.
   milliseconds shortestWait(const std::vector<placement_candidate> &Candidates,
--- a/hyssopledge/state/retry_breaker.h
+++ b/hyssopledge/state/retry_breaker.h
@@ -28,6 +28,8 @@
   void record(const std::string &Route, bool Failed, time_point Now);
   /// Whether failed requests on the route may be retried.
   bool allowsRetry(const std::string &Route, time_point Now);
+  /// Drops what was recorded on the route.
+  void forget(const std::string &Route) { Routes.erase(Route); }
 
 private:
   struct figure {
--- a/hyssopledge/state/route_table.cpp
+++ b/hyssopledge/state/route_table.cpp
@@ -71,6 +71,30 @@
   return std::shared_ptr<const route_table>(std::move(Table));
 }
 
+std::vector<std::string>
+route_table::routesEndedBy(const route_table &Next) const {
+  const auto SameServices = [](const route_spec &A, const route_spec &B) {
+    return A.Service == B.Service &&
+           std::equal(A.Split.begin(), A.Split.end(), B.Split.begin(),
+                      B.Split.end(), [](const auto &Left, const auto &Right) {
+                        return Left.Service == Right.Service;
+                      });
+  };
+  std::unordered_map<std::string_view, const route_spec *> NextRoutes;
+  for (const route_spec &Route : Next.Document.Routes)
+    NextRoutes.emplace(Route.Name, &Route);
+  std::vector<std::string> Ended;
+  for (const route_spec &Route : Document.Routes) {
+    const auto Found = NextRoutes.find(Route.Name);
+    if (Found == NextRoutes.end() || Found->second->Host != Route.Host ||
+        Found->second->PathPrefix != Route.PathPrefix ||
+        Found->second->Methods != Route.Methods ||
+        !SameServices(Route, *Found->second))
+      Ended.push_back(Route.Name);
+  }
+  return Ended;
+}
+
 const workspace_spec *
 route_table::findWorkspace(std::string_view ApiKey) const {
   const auto Found = WorkspacesByKey.find(ApiKey);
--- a/hyssopledge/state/route_table.h
+++ b/hyssopledge/state/route_table.h
@@ -38,6 +38,11 @@
   /// The service, or null.
   const service_spec *findService(std::string_view Name) const;
 
+  /// Returns the names of the routes that Next does not have, or has for other
+  /// requests: of another host, prefix or method, or to other services. What
+  /// was measured on such a route does not hold any more.
+  std::vector<std::string> routesEndedBy(const route_table &Next) const;
+
 private:
   route_table(std::uint64_t Version, document Document)
       : Version(Version), Document(std::move(Document)) {}
--- a/hyssopledge/state/slot_queue.cpp
+++ b/hyssopledge/state/slot_queue.cpp
@@ -75,6 +75,14 @@
              : milliseconds(static_cast<std::int64_t>(Found->second.MeanMs));
 }
 
+void run_time_table::forget(const std::string &Route) {
+  const auto Found = Routes.find(Route);
+  if (Found == Routes.end())
+    return;
+  Runs -= Found->second.Runs;
+  Routes.erase(Found);
+}
+
 bool run_time_table::hasEnoughRuns(const std::string &Route) const {
   const auto Found = Routes.find(Route);
   return Found != Routes.end() && Found->second.Runs >= MinRuns;
--- a/hyssopledge/state/slot_queue.h
+++ b/hyssopledge/state/slot_queue.h
@@ -48,6 +48,8 @@
   /// The mean, or DefaultRunTime before the first run of the route.
   milliseconds mean(const std::string &Route,
                     milliseconds DefaultRunTime) const;
+  /// Drops the runs of the route.
+  void forget(const std::string &Route);
   /// Whether the mean of the route is based on enough runs.
   bool hasEnoughRuns(const std::string &Route) const;
   /// Longest mean among the routes with a relevant share of all runs.
@@ -138,6 +140,11 @@
   /// Expected run times as a multiple of the mean ones, by the speed that the
   /// upstream reports.
   double workFactor(time_point Now) const { return WorkSpeed.factor(Now); }
+  /// Drops the run times of the route.
+  void forgetRoute(const std::string &Route) {
+    RunTimes.forget(Route);
+    UsualTimes.forget(Route);
+  }
   /// Recent mean run time of the route, Default before its first run.
   milliseconds meanRunTime(const std::string &Route,
                            milliseconds Default) const {
--- a/hyssopledge/state/weighted_round_robin.h
+++ b/hyssopledge/state/weighted_round_robin.h
@@ -1,6 +1,7 @@
 /// \file
 /// Smooth weighted round robin: distributes requests in proportion to weights,
-/// evenly interleaved. No I/O; not thread-safe.
+/// evenly interleaved. The weights may change between requests. No I/O; not
+/// thread-safe.
 #pragma once
 
 #include <cstddef>
@@ -10,15 +11,25 @@
 
 class weighted_round_robin {
 public:
-  /// Index of the next destination. Weights must be >= 0 and not all 0.
+  /// Index of the next destination. Weights must be >= 0 and not all 0. One
+  /// with the weight 0 is never chosen, whatever it had earned before.
   std::size_t next(const std::vector<double> &Weights) {
-    Credit.resize(Weights.size(), 0);
-    double Total = 0;
-    std::size_t Best = 0;
+    double Sum = 0;
+    for (const double Weight : Weights)
+      Sum += Weight;
+    if (Credit.size() != Weights.size())
+      Credit.assign(Weights.size(), 0);
+    else if (Sum != Total)
+      // Only the proportions of the weights have a meaning, so that credits
+      // that were earned in another scale are converted.
+      for (double &Earned : Credit)
+        Earned *= Sum / Total;
+    Total = Sum;
+    std::size_t Best = Weights.size();
     for (std::size_t I = 0; I < Weights.size(); ++I) {
-      Credit[I] += Weights[I];
-      Total += Weights[I];
-      if (Credit[I] > Credit[Best])
+      Credit[I] = Weights[I] > 0 ? Credit[I] + Weights[I] : 0;
+      if (Weights[I] > 0 &&
+          (Best == Weights.size() || Credit[I] > Credit[Best]))
         Best = I;
     }
     Credit[Best] -= Total;
@@ -27,6 +38,7 @@
 
 private:
   std::vector<double> Credit;
+  double Total = 0; // of the latest weights
 };
 
 } // namespace hyssopledge::state
--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -138,6 +138,9 @@
 
 void mesh_plane::setDocument(
     std::shared_ptr<const state::route_table> NewTable) {
+  if (Table)
+    for (const std::string &Route : Table->routesEndedBy(*NewTable))
+      forgetRoute(Route);
   Table = std::move(NewTable);
   const state::caller_limits &Limits = Table->source().Limits;
   EntryListener->setOptions(entryOptions(Limits));
@@ -145,6 +148,18 @@
   updateColdLimits();
 }
 
+/// A later route of the same name must not inherit what was measured on this
+/// one: for example, requests would be refused for run times of others, and as
+/// none runs, this would not change.
+void mesh_plane::forgetRoute(const std::string &Route) {
+  SplitRoundRobin.erase(Route);
+  LongestCallerTimeout.erase(Route);
+  RetryBreaker.forget(Route);
+  Hedging.forget(Route);
+  Placement.forgetRoute(Route);
+  UpstreamClient.forgetRoute(Route);
+}
+
 void mesh_plane::setDirectory(const coordination::fleet_directory &Directory) {
   Services.clear();
   VersionHold.update(Directory, boot_clock::now());
--- a/hyssopledge/transport/mesh_plane.h
+++ b/hyssopledge/transport/mesh_plane.h
@@ -152,6 +152,7 @@
   void checkHedges();
   std::vector<std::shared_ptr<entry_call>> pendingCalls() const;
   void updateColdLimits();
+  void forgetRoute(const std::string &Route);
   listener_options entryOptions(const state::caller_limits &Limits) const;
   listener_options hopOptions(const state::caller_limits &Limits) const;
   /// Stops sending to an upstream that said in a response that it leaves. The
--- a/hyssopledge/transport/upstream_client.h
+++ b/hyssopledge/transport/upstream_client.h
@@ -95,6 +95,8 @@
   /// Returns the share of running requests, 0 to 1, that an upstream had
   /// received before.
   double retryShare() const;
+  /// Drops the run times of the route.
+  void forgetRoute(const std::string &Route) { Queue.forgetRoute(Route); }
   std::size_t active() const { return Exchanges.size(); }
   /// Sets the limit that other daemons know from before this daemon started.
   /// Does nothing once the upstream has responded.
--- a/tests/document_change_test.cpp
+++ b/tests/document_change_test.cpp
@@ -67,3 +67,47 @@
   });
   CHECK(Kept.size() == 1);
 }
+
+// The run times of the former requests exceeded the deadlines of the new ones,
+// so that all were refused, and none ran to show that it is short.
+TEST_CASE("a route of the same name does not inherit run times") {
+  struct change_case {
+    const char *Name;
+    std::function<void(state::route_spec &)> Change;
+    const char *Path;
+    unsigned Status;
+  };
+  const change_case Cases[] = {
+      {"other requests",
+       [](state::route_spec &Route) { Route.PathPrefix = "/new/"; }, "/new/1",
+       200},
+      {"another latency objective alone", [](state::route_spec &) {}, "/look/1",
+       503},
+  };
+  for (const change_case &Case : Cases) {
+    CAPTURE(std::string(Case.Name));
+    mesh Mesh({[](upstream_connection &Connection) {
+      while (const auto Request = Connection.read()) {
+        if (Request->target().starts_with("/look/"))
+          std::this_thread::sleep_for(milliseconds(600));
+        Connection.respond("ok", 200, SignatureField);
+      }
+    }});
+    const auto SetDocument = [&](std::uint64_t Version,
+                                 const state::document &Document) {
+      for (mesh_node *Node : {&Mesh.Entry, Mesh.Targets[0].get()})
+        Node->run([&] { Node->Plane->setDocument(table(Version, Document)); });
+    };
+    state::document Document = testTable(std::chrono::seconds(5))->source();
+    SetDocument(2, Document);
+    for (int I = 0; I < 3; ++I)
+      REQUIRE(Mesh.call(shopRequest(http::verb::get, "/look/1")).result_int() ==
+              200);
+    Document.Routes[0].SloLatency = milliseconds(200);
+    Case.Change(Document.Routes[0]);
+    SetDocument(3, Document);
+    http_request Request = shopRequest(http::verb::get, Case.Path);
+    Request.set("Deadline-Ms", "300");
+    CHECK(Mesh.call(Request).result_int() == Case.Status);
+  }
+}
--- a/tests/mesh_state_test.cpp
+++ b/tests/mesh_state_test.cpp
@@ -125,6 +125,39 @@
   }
 }
 
+// Credits that were earned with the former weights went on counting, so that a
+// part without weight was chosen until the others had caught up.
+TEST_CASE("requests are distributed by the new weights once these change") {
+  struct change_case {
+    std::vector<double> Before;
+    std::vector<double> After;
+  };
+  for (const change_case &Case :
+       {change_case{{90, 10}, {0, 1}}, change_case{{50, 50}, {0.99, 0.01}},
+        change_case{{0.5, 0.5}, {990, 10}}, change_case{{1, 1, 1}, {0, 2, 1}},
+        change_case{{5000, 5000}, {10'000, 0}}, change_case{{1, 1}, {1, 1, 1}},
+        change_case{{9, 1}, {1, 9}}})
+    for (int Earlier = 0; Earlier < 20; ++Earlier) {
+      CAPTURE(Case.After[0]);
+      CAPTURE(Earlier);
+      weighted_round_robin RoundRobin;
+      for (int I = 0; I < Earlier; ++I)
+        RoundRobin.next(Case.Before);
+      std::vector<int> Count(Case.After.size());
+      constexpr int Requests = 50;
+      double Total = 0;
+      for (const double Weight : Case.After)
+        Total += Weight;
+      for (int I = 0; I < Requests; ++I)
+        ++Count[RoundRobin.next(Case.After)];
+      for (std::size_t I = 0; I < Case.After.size(); ++I) {
+        if (Case.After[I] == 0)
+          CHECK(Count[I] == 0);
+        CHECK(std::abs(Count[I] - Requests * Case.After[I] / Total) <= 2.0);
+      }
+    }
+}
+
 TEST_CASE("all daemons together stay within the retry budget") {
   struct budget_case {
     const char *Name;
