Weights of any scale; calls are not ended right after a stall

A process that had been frozen would have ended overdue calls before it read the answers that wait in its sockets.

Change: credits are dropped if the factor is not finite, such a document is refused, and after a stall the check for overdue calls waits for the next one.

Result: mesh_state_test passes with a row for each of the first two; the last one has no test.

--- a/hyssopledge/state/route_table.cpp
+++ b/hyssopledge/state/route_table.cpp
@@ -49,8 +49,10 @@
         return invalid(Route, "unknown service \"" + Share.Service + "\"");
       Total += Share.Weight;
     }
-    if (!Route.Split.empty() && Total <= 0)
-      return invalid(Route, "the weights of its services add up to 0");
+    if (!Route.Split.empty() && (Total <= 0 || !std::isfinite(Total)))
+      return invalid(Route, Total <= 0
+                                ? "the weights of its services add up to 0"
+                                : "the weights of its services are too large");
     if (Route.Split.empty() && Table->findService(Route.Service) == nullptr)
       return invalid(Route, "unknown service \"" + Route.Service + "\"");
     if (!Table->Hosts[lowerCase(Route.Host)]
--- a/hyssopledge/state/route_table.h
+++ b/hyssopledge/state/route_table.h
@@ -19,9 +19,9 @@
 public:
   /// Fails with InvalidDocument when a prefix does not begin and end with a
   /// slash, a route names an unknown service, two routes have the same host and
-  /// prefix, weights are negative, not finite or all 0, or the name of a
-  /// workspace can't be sent in a header field. If two workspaces have the same
-  /// key, the first one holds it.
+  /// prefix, weights are negative or all 0, or their sum is not finite, or the
+  /// name of a workspace can't be sent in a header field. If two workspaces
+  /// have the same key, the first one holds it.
   static result<std::shared_ptr<const route_table>> build(std::uint64_t Version,
                                                           document Document);
 
--- a/hyssopledge/state/weighted_round_robin.h
+++ b/hyssopledge/state/weighted_round_robin.h
@@ -4,6 +4,7 @@
 /// thread-safe.
 #pragma once
 
+#include <cmath>
 #include <cstddef>
 #include <vector>
 
@@ -11,19 +12,20 @@
 
 class weighted_round_robin {
 public:
-  /// Index of the next destination. Weights must be >= 0 and not all 0. One
-  /// with the weight 0 is never chosen, whatever it had earned before.
+  /// Index of the next destination. Weights must be >= 0, with a finite sum >
+  /// 0. One with the weight 0 is never chosen, whatever it had earned before.
   std::size_t next(const std::vector<double> &Weights) {
     double Sum = 0;
     for (const double Weight : Weights)
       Sum += Weight;
-    if (Credit.size() != Weights.size())
+    // Only the proportions of the weights have a meaning, so that credits that
+    // were earned in another scale are converted.
+    const double Scale = Total > 0 ? Sum / Total : 0;
+    if (Credit.size() != Weights.size() || !std::isfinite(Scale))
       Credit.assign(Weights.size(), 0);
-    else if (Sum != Total)
-      // Only the proportions of the weights have a meaning, so that credits
-      // that were earned in another scale are converted.
+    else if (Scale != 1)
       for (double &Earned : Credit)
-        Earned *= Sum / Total;
+        Earned *= Scale;
     Total = Sum;
     std::size_t Best = Weights.size();
     for (std::size_t I = 0; I < Weights.size(); ++I) {
--- a/hyssopledge/transport/mesh_plane.cpp
+++ b/hyssopledge/transport/mesh_plane.cpp
@@ -338,8 +338,10 @@
   }
   for (const auto &Attempt : Affected)
     Attempt->onPeerUnreachable();
-  for (const auto &Call : pendingCalls())
-    Call->endOverdue(Now);
+  // After a stall the answers that wait in the sockets are read first.
+  if (!WasStalled)
+    for (const auto &Call : pendingCalls())
+      Call->endOverdue(Now);
   PeerTimer.expires_after(PeerCheckInterval);
   PeerTimer.async_wait([this](const error_code &Error) {
     if (!Error)
--- a/tests/mesh_state_test.cpp
+++ b/tests/mesh_state_test.cpp
@@ -83,6 +83,8 @@
   Negative.Split = {{"pages", -1}, {"bookings", 2}};
   route_spec NotANumber = route("nan", "h", "/s/");
   NotANumber.Split = {{"pages", std::numeric_limits<double>::quiet_NaN()}};
+  route_spec TooLarge = route("large", "h", "/s/");
+  TooLarge.Split = {{"pages", 1e308}, {"pages", 1e308}};
   struct refusal_case {
     std::vector<route_spec> Routes;
     const char *ExpectedText; // part of the error text
@@ -94,6 +96,7 @@
       {{route("r", "h", "/a/", "nobody")}, "unknown service"},
       {{route("r", "h", "/a/"), route("s", "H", "/a/")}, "another route"},
       {{Split}, "add up to 0"},
+      {{TooLarge}, "too large"},
       {{Negative}, "non-negative number"},
       {{NotANumber}, "non-negative number"},
   };
@@ -134,7 +137,9 @@
   };
   for (const change_case &Case :
        {change_case{{90, 10}, {0, 1}}, change_case{{50, 50}, {0.99, 0.01}},
-        change_case{{0.5, 0.5}, {990, 10}}, change_case{{1, 1, 1}, {0, 2, 1}},
+        change_case{{0.5, 0.5}, {990, 10}},
+        change_case{{1e-300, 0}, {1e300, 1e300}},
+        change_case{{1, 1, 1}, {0, 2, 1}},
         change_case{{5000, 5000}, {10'000, 0}}, change_case{{1, 1}, {1, 1, 1}},
         change_case{{9, 1}, {1, 9}}})
     for (int Earlier = 0; Earlier < 20; ++Earlier) {
