--- a/tests/message_limits_test.cpp
+++ b/tests/message_limits_test.cpp
@@ -72,6 +72,13 @@
        "abcd", "TRACE /look/1 HTTP/1.1\r\n"},
       {"TRACE with a chunked body", "TRACE", "", Chunked, Chunk + "\r\n",
        "abcd", "TRACE /look/1 HTTP/1.1\r\n"},
+      {"CONNECT with a body", "CONNECT", "", "Content-Length: 4\r\n", "abcd",
+       "abcd", "CONNECT /look/1 HTTP/1.1\r\n"},
+      {"DELETE with a body", "DELETE", "", "Content-Length: 4\r\n", "abcd",
+       "abcd", "DELETE /look/1 HTTP/1.1\r\n"},
+      {"a wish for another protocol", "GET", "",
+       "Connection: upgrade\r\nUpgrade: websocket\r\n", "", "",
+       "GET /look/1 HTTP/1.1\r\n"},
       {"an unknown method with a body", "BREW", "", "Content-Length: 4\r\n",
        "abcd", "abcd", "BREW /look/1 HTTP/1.1\r\n"},
   };
