--- a/hyssopledge/coordination/lasting_change.h
+++ b/hyssopledge/coordination/lasting_change.h
@@ -20,8 +20,8 @@
 public:
   /// Time for the store before other daemons are asked to keep the record.
   static constexpr state::milliseconds StoreWait{250};
-  /// Daemons that must keep the record if the store has not got it: one more
-  /// than are lost with this one in a usual failure of several.
+  /// Daemons that must keep the record if the store has not got it, so that it
+  /// also outlives two of them.
   static constexpr std::size_t MinKeepers = 3;
 
   /// The record has a change that must last since this revision.
